--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+PACKAGES := -e packages/zinniahook-core -e packages/zinniahook-wire -e packages/zinniahook-store -e packages/zinniahook-caller -e packages/zinniahook-daemon -e packages/zinniahook-cli -e packages/zinniahook-testkit
+
+.PHONY: demo test lint format bench stubs install clean
+
+install: $(VENV)/installed
+
+$(VENV)/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.txt $(PACKAGES)
+	touch $@
+
+demo: install
+	$(PYTHON) -m zinniahook_testkit.demo
+
+test: install
+	$(PYTHON) -m pytest
+
+lint: install
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: install
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+bench: install
+	$(PYTHON) -m zinniahook_testkit.bench $(NAME)
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/zinniahook-caller/src/zinniahook_caller/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/3 caller library that retries safely."""
--- /dev/null
+++ b/packages/zinniahook-cli/src/zinniahook_cli/__init__.py
@@ -0,0 +1,1 @@
+"""zinniahook: the operators' query and command language."""
--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of zinniahook, without I/O."""
--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/events.py
@@ -0,0 +1,187 @@
+"""What can happen to a core. A core is driven by ``handle(now, event)``.
+
+Events and effects are plain named tuples, free of sockets, QUIC and tornado,
+so that a daemon, a test or a foreign bench can drive the same decisions.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .codes import Code, Outcome
+from .messages import PeerMessage
+from .models import Address, Configuration, Load, Roster
+
+__all__ = [
+    "AgentEvent",
+    "AnswerSeen",
+    "CallerDatagram",
+    "ConfigurationChanged",
+    "DrainRequested",
+    "EntryEvent",
+    "FlowClosed",
+    "FlowDatagram",
+    "FlowOpening",
+    "PeerDatagram",
+    "RequestArrived",
+    "RequestCancelled",
+    "RequestFinished",
+    "RosterChanged",
+    "RosterWritten",
+    "TargetReported",
+    "Tick",
+]
+
+
+class Tick(NamedTuple):
+    """Time has passed; sent at least ten times a second."""
+
+
+class ConfigurationChanged(NamedTuple):
+    """A generation was learned, from the store or from another process."""
+
+    configuration: Configuration
+
+
+class RosterChanged(NamedTuple):
+    """A roster value was learned, from the store or from another process."""
+
+    roster: Roster
+
+
+class CallerDatagram(NamedTuple):
+    """At an entry: a datagram of a caller on a service address."""
+
+    service: str
+    caller: Address
+    payload: bytes
+
+
+class AnswerSeen(NamedTuple):
+    """At an entry: an agent answered a caller; a hint on who owns the flow."""
+
+    service: str
+    caller: Address
+    agent: Address
+
+
+class FlowOpening(NamedTuple):
+    """At an agent: a QUIC Initial for a connection this agent doesn't have.
+
+    ``flow`` is the caller's first destination connection id. ``handed_by``
+    is the peer that handed it over, or empty if it came from an entry.
+    """
+
+    service: str
+    flow: bytes
+    caller: Address
+    handed_by: str = ""
+
+
+class FlowDatagram(NamedTuple):
+    """At an agent: a datagram of a plain UDP flow, by way of ``entry``."""
+
+    service: str
+    caller: Address
+    entry: Address
+    payload: bytes
+    hops: int = 0
+    handed_by: str = ""
+
+
+class FlowClosed(NamedTuple):
+    """At an agent: a flow ended (closed, or idle too long)."""
+
+    flow: bytes
+
+
+class PeerDatagram(NamedTuple):
+    """At an agent: an authenticated message of a peer of the same service."""
+
+    sender: str
+    message: PeerMessage
+
+
+class RosterWritten(NamedTuple):
+    """The answer to a ``WriteRoster`` effect.
+
+    ``code`` is OK, CONFLICT (``roster`` is what is stored), STORE_DOWN
+    (certainly not written) or STORE_ANSWER_LOST (settle by reading).
+    """
+
+    operation: str
+    code: Code
+    roster: Roster | None
+
+
+class DrainRequested(NamedTuple):
+    """Stop taking new work; finish what runs within ``seconds``."""
+
+    seconds: float
+
+
+class RequestArrived(NamedTuple):
+    """At an agent: the header of a request is complete.
+
+    ``key`` is the Idempotency-Key or empty, ``attempt`` the caller's count
+    from 1 or 0, ``deadline`` an absolute monotonic time. ``idempotent``
+    follows HTTP's definition of the method. ``relayed_by`` is the peer
+    agent that passed the request on, or empty.
+    """
+
+    request: int
+    kind: str
+    idempotent: bool
+    key: bytes
+    attempt: int
+    deadline: float
+    relayed_by: str = ""
+
+
+class RequestFinished(NamedTuple):
+    """At an agent: the target or the relaying peer has ended a request.
+
+    ``answer`` is the encoded answer if it is small enough to keep, else
+    empty. ``started`` is false if the target certainly never saw it.
+    """
+
+    request: int
+    outcome: Outcome
+    started: bool
+    answer: bytes = b""
+
+
+class RequestCancelled(NamedTuple):
+    """At an agent: the caller reset the stream or its connection ended."""
+
+    request: int
+
+
+class TargetReported(NamedTuple):
+    """At an agent: the target's own health and load endpoint answered.
+
+    It may lag or mislead, so it is evidence with an age, never the truth.
+    ``healthy`` is None if there was no answer.
+    """
+
+    healthy: bool | None
+    load: Load | None
+
+
+EntryEvent = Tick | ConfigurationChanged | RosterChanged | CallerDatagram | AnswerSeen
+
+AgentEvent = (
+    Tick
+    | ConfigurationChanged
+    | RosterChanged
+    | FlowOpening
+    | FlowDatagram
+    | FlowClosed
+    | PeerDatagram
+    | RosterWritten
+    | DrainRequested
+    | RequestArrived
+    | RequestFinished
+    | RequestCancelled
+    | TargetReported
+)
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""zinniahookd: entry and agent."""
--- /dev/null
+++ b/packages/zinniahook-store/src/zinniahook_store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool and invariant checks."""
--- /dev/null
+++ b/packages/zinniahook-wire/src/zinniahook_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, tunnel datagrams and control stubs."""
