--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/metrics.py
@@ -0,0 +1,105 @@
+"""Counters, timings and histograms of one daemon.
+
+Everything is kept in memory, where the Status call reads it; if a statsd is
+set, the differences are sent to it once a second in few datagrams.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING, NamedTuple
+
+from .settings import MetricsSettings
+
+if TYPE_CHECKING:
+    from hdrh.histogram import HdrHistogram
+
+__all__ = ["Histogram", "HistogramKey", "Metrics"]
+
+LONGEST = 86_400 * 1_000_000
+"""Longest time a histogram tells apart, in microseconds: a day."""
+
+DIGITS = 2
+"""Significant digits of a histogram: 26 KB of memory each."""
+
+TIMINGS = 50
+"""Most single timings sent to statsd for each histogram and flush."""
+
+
+class HistogramKey(NamedTuple):
+    """What a histogram measures: ``kind`` of a service, such as a class."""
+
+    service: str
+    kind: str
+
+
+class Histogram:
+    """Times in an HDR histogram, in microseconds."""
+
+    def __init__(self) -> None:
+        # Imported with the first histogram: an entry without one saves it.
+        from hdrh.histogram import HdrHistogram
+
+        self.values: HdrHistogram = HdrHistogram(1, LONGEST, DIGITS)
+        self.unsent: list[float] = []
+
+    def record(self, seconds: float) -> None:
+        """Record one time in seconds."""
+        self.values.record_value(max(1, min(LONGEST, round(seconds * 1e6))))
+        if len(self.unsent) < TIMINGS:
+            self.unsent.append(seconds)
+
+    def encode(self) -> bytes:
+        """Return the HDR histogram in its standard compressed form."""
+        return self.values.encode()
+
+
+class Metrics:
+    """The counters and histograms of one daemon.
+
+    Parameters
+    ----------
+    settings : MetricsSettings
+        Where to send them.
+    name : str
+        Name of the instance, part of each name sent.
+    """
+
+    def __init__(self, settings: MetricsSettings, name: str) -> None:
+        self.counters_by_name: defaultdict[str, int] = defaultdict(int)
+        self.histograms_by_key: dict[HistogramKey, Histogram] = {}
+        self._sent_by_name: dict[str, int] = {}
+        self._client = None
+        if settings.statsd is not None:
+            from statsd import StatsClient
+
+            prefix = f"{settings.prefix}.{name}" if settings.prefix else name
+            self._client = StatsClient(*settings.statsd, prefix=prefix)
+
+    def count(self, name: str, amount: int = 1, **tags: object) -> None:
+        """Add to a counter; the values of tags become parts of its name."""
+        if tags:
+            name = ".".join((name, *map(str, tags.values())))
+        self.counters_by_name[name] += amount
+
+    def histogram(self, service: str, kind: str) -> Histogram:
+        """Return the histogram of a kind of time of a service."""
+        key = HistogramKey(service, kind)
+        found = self.histograms_by_key.get(key)
+        if found is None:
+            found = self.histograms_by_key[key] = Histogram()
+        return found
+
+    def flush(self) -> None:
+        """Send what was added since the last flush."""
+        if self._client is None:
+            return
+        with self._client.pipeline() as pipeline:
+            for name, total in self.counters_by_name.items():
+                if added := total - self._sent_by_name.get(name, 0):
+                    pipeline.incr(name, added)
+                    self._sent_by_name[name] = total
+            for key, histogram in self.histograms_by_key.items():
+                for seconds in histogram.unsent:
+                    pipeline.timing(f"{key.service}.{key.kind}", seconds * 1000)
+                histogram.unsent.clear()
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
@@ -0,0 +1,248 @@
+"""What every daemon has, whatever its role.
+
+A `Node` holds the settings, the store, the tunnel, the control server and
+the metrics of one process, and tells its role of new configurations and
+rosters. The role is served by `entries.serve` or `agents.serve`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from tornado.ioloop import PeriodicCallback
+from zinniahook_core.codes import Code
+from zinniahook_core.effects import WriteRoster
+from zinniahook_core.events import RosterWritten
+from zinniahook_core.models import Address, Configuration, Roster
+from zinniahook_store import Store
+from zinniahook_wire.tunnels import Tunnel, TunnelDatagram
+
+from . import logs
+from .certificates import Certificates
+from .metrics import Histogram, Metrics
+from .settings import Settings
+from .sockets import UdpSocket
+
+__all__ = ["Node"]
+
+DatagramCallback = Callable[[TunnelDatagram, Address], None]
+ConfigurationCallback = Callable[[Configuration], None]
+RosterCallback = Callable[[Roster], None]
+
+
+class Node:
+    """One daemon's settings, connections and metrics.
+
+    Parameters
+    ----------
+    settings : Settings
+        The checked settings.
+
+    Attributes
+    ----------
+    settings : Settings
+    store : Store
+    distribution : Distribution
+        What is known of the configuration and the rosters.
+    control : ControlServer
+    metrics : Metrics
+    certificates : Certificates
+    loop : asyncio.AbstractEventLoop
+    stopping : asyncio.Event
+        Set when the process should stop gracefully (SIGTERM or a drain).
+    tunnel_address, control_address : Address
+        As bound, known after `start`.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        from .control import ControlServer
+        from .distribution import Distribution
+
+        self.settings = settings
+        self.loop = asyncio.get_running_loop()
+        self.stopping = asyncio.Event()
+        self.metrics = Metrics(settings.metrics, settings.name)
+        self.certificates = Certificates(settings.control)
+        self.store = Store(settings.store.addresses, settings.store.timeout)
+        self.tunnel: Tunnel | None = None
+        self.tunnel_address = settings.tunnel.address
+        self.control_address = settings.control.address
+        self.relay_handler: Callable[[Any], Awaitable[None]] | None = None
+        self.drain_handler: Callable[[float], None] | None = None
+        self.status_handler: Callable[[], dict[str, Any]] | None = None
+        self._receivers: list[DatagramCallback] = []
+        self._configuration_callbacks: list[ConfigurationCallback] = []
+        self._roster_callbacks: list[RosterCallback] = []
+        self._reload_callbacks: list[Callable[[], None]] = []
+        self._timers: list[PeriodicCallback] = []
+        self._socket: UdpSocket | None = None
+        self.distribution = Distribution(self)
+        self.control = ControlServer(self)
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force here, or None before the first."""
+        return self.distribution.configuration
+
+    @property
+    def generation(self) -> int:
+        """Number of the configuration in force here; 0 before the first."""
+        configuration = self.distribution.configuration
+        return configuration.generation if configuration else 0
+
+    async def start(self) -> None:
+        """Bind the tunnel and the control server, start to learn.
+
+        Raises
+        ------
+        OSError
+            If an address can't be bound.
+        """
+        self._socket = UdpSocket(self.settings.tunnel.address, self._receive)
+        self.tunnel_address = self._socket.address
+        self.control_address = await self.control.start()
+        self.distribution.start()
+        self.every(1.0, self.metrics.flush)
+
+    async def stop(self) -> None:
+        """Close everything that `start` opened."""
+        for timer in self._timers:
+            timer.stop()
+        await self.distribution.stop()
+        await self.control.stop()
+        if self._socket is not None:
+            self._socket.close()
+        self.metrics.flush()
+
+    async def ready(self) -> None:
+        """Wait until a configuration is in force."""
+        await self.distribution.learned.wait()
+
+    # The tunnel
+
+    def send_tunnel(self, address: Address, datagram: TunnelDatagram) -> None:
+        """Send a datagram to another daemon; it may get lost."""
+        if self.tunnel is None or self._socket is None:
+            self.count("tunnel.dropped", code=Code.NOT_READY.name)
+            return
+        if not self._socket.send(self.tunnel.encode(datagram), address):
+            self.count("tunnel.dropped", code=Code.SOCKET_FULL.name)
+
+    def on_tunnel(self, callback: DatagramCallback) -> None:
+        """Call back with each authenticated tunnel datagram and its source."""
+        self._receivers.append(callback)
+
+    def _receive(self, data: bytes, source: tuple) -> None:
+        if self.tunnel is None:
+            self.count("tunnel.dropped", code=Code.NOT_READY.name)
+            return
+        datagram = self.tunnel.decode(data)
+        if isinstance(datagram, Code):
+            self.count("tunnel.dropped", code=datagram.name)
+            return
+        if datagram.generation > self.generation:
+            self.distribution.suspect(datagram.generation)
+        address = Address(source[0], source[1])
+        for callback in self._receivers:
+            callback(datagram, address)
+
+    # Configuration and rosters
+
+    def on_configuration(self, callback: ConfigurationCallback) -> None:
+        """Call back with each new configuration, and now if there is one."""
+        self._configuration_callbacks.append(callback)
+        if self.configuration is not None:
+            callback(self.configuration)
+
+    def on_roster(self, callback: RosterCallback) -> None:
+        """Call back with each new roster, and now with those known."""
+        self._roster_callbacks.append(callback)
+        for roster in list(self.distribution.rosters_by_service.values()):
+            callback(roster)
+
+    def configuration_changed(self, configuration: Configuration) -> None:
+        """Put a new configuration in force (called by the distribution)."""
+        self.tunnel = Tunnel(
+            configuration.tunnel_keys_by_number, configuration.tunnel_key
+        )
+        for callback in self._configuration_callbacks:
+            callback(configuration)
+
+    def roster_changed(self, roster: Roster) -> None:
+        """Tell of a new roster (called by the distribution)."""
+        for callback in self._roster_callbacks:
+            callback(roster)
+
+    async def write_roster(self, effect: WriteRoster) -> RosterWritten:
+        """Compare-and-swap a roster in the store; never raises."""
+        return await self.distribution.write_roster(effect)
+
+    async def read_roster(self, service: str) -> Roster | None:
+        """Read a roster from the store, and tell of it if it is newer.
+
+        Returns
+        -------
+        Roster or None
+            None if the store didn't answer; an empty roster of revision 0 if
+            there is none yet.
+        """
+        return await self.distribution.read_roster(service)
+
+    # Calls from other daemons and operators
+
+    def on_relay(self, handler: Callable[[Any], Awaitable[None]]) -> None:
+        """Serve `Control.Relay` with ``await handler(stream)``."""
+        self.relay_handler = handler
+
+    def on_drain(self, handler: Callable[[float], None]) -> None:
+        """Call back with the seconds allowed when a drain is asked for."""
+        self.drain_handler = handler
+
+    def on_status(self, handler: Callable[[], dict[str, Any]]) -> None:
+        """Add ``handler()`` to the answers of `Control.Status`."""
+        self.status_handler = handler
+
+    def on_reload(self, callback: Callable[[], None]) -> None:
+        """Call back when certificates should be read again (SIGHUP)."""
+        self._reload_callbacks.append(callback)
+
+    def reload(self) -> None:
+        """Read the certificates again."""
+        self.certificates.reload()
+        for callback in self._reload_callbacks:
+            callback()
+        self.log("certificates-reloaded")
+
+    # Metrics, logs and time
+
+    def count(self, name: str, amount: int = 1, **tags: object) -> None:
+        """Add to a counter; see `Metrics.count`."""
+        self.metrics.count(name, amount, **tags)
+
+    def histogram(self, service: str, kind: str) -> Histogram:
+        """Return a histogram of times; see `Metrics.histogram`."""
+        return self.metrics.histogram(service, kind)
+
+    def log(self, event: str, **fields: Any) -> None:
+        """Write one structured line on a change of state."""
+        logs.log(event, **fields)
+
+    def now(self) -> float:
+        """Return monotonic seconds, as the cores expect them."""
+        return time.monotonic()
+
+    def every(self, seconds: float, callback: Callable[[], None]) -> PeriodicCallback:
+        """Call back every so many seconds until the node stops.
+
+        Returns
+        -------
+        PeriodicCallback
+            Its ``stop()`` ends the calls earlier.
+        """
+        timer = PeriodicCallback(callback, seconds * 1000)
+        timer.start()
+        self._timers.append(timer)
+        return timer
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/settings.py
@@ -0,0 +1,267 @@
+"""The settings file of a daemon: its model, its reading and its checks.
+
+The sections below are the only list of settings; the checks and the
+reference for operators are both derived from their fields.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Annotated, Any, NamedTuple, get_args, get_type_hints
+
+from zinniahook_core.codes import Code, ZinniahookError
+from zinniahook_core.models import Address
+
+__all__ = [
+    "Role",
+    "Settings",
+    "SettingsError",
+    "load",
+]
+
+
+class Role(str):
+    """What the daemon does: ``entry`` or ``agent``."""
+
+    ENTRY: Role
+    AGENT: Role
+
+
+Role.ENTRY = Role("entry")
+Role.AGENT = Role("agent")
+
+
+class StoreSettings(NamedTuple):
+    """How to reach the platform's key-value service."""
+
+    addresses: Annotated[tuple[Address, ...], "addresses of the key-value service"]
+    timeout: Annotated[float, "seconds to wait for an answer"] = 2.0
+
+
+class TunnelSettings(NamedTuple):
+    """Datagrams between entries and agents."""
+
+    address: Annotated[Address, "UDP address; port 0 picks a free one"]
+
+
+class ControlSettings(NamedTuple):
+    """Calls between daemons and from operators: gRPC with mutual TLS."""
+
+    address: Annotated[Address, "TCP address; port 0 picks a free one"]
+    certificate: Annotated[Path, "PEM file of this daemon's certificate"]
+    key: Annotated[Path, "PEM file of its private key"]
+    authority: Annotated[Path, "PEM file of the authority that signs all of them"]
+    parents: Annotated[
+        tuple[Address, ...],
+        "control addresses to learn the configuration from; empty: the store",
+    ] = ()
+
+
+class MetricsSettings(NamedTuple):
+    """Where counters and timings go."""
+
+    statsd: Annotated[Address | None, "UDP address of a statsd; none: only kept"] = None
+    prefix: Annotated[str, "first part of every name sent to statsd"] = "zinniahook"
+
+
+class EntrySettings(NamedTuple):
+    """An entry alone reads these."""
+
+    bind_host: Annotated[str, "takes the place of the host of service addresses"] = ""
+    drain: Annotated[float, "seconds to go on forwarding after SIGTERM"] = 1.0
+
+
+class AgentSettings(NamedTuple):
+    """An agent alone reads these."""
+
+    service: Annotated[str, "name of the service that the target serves"]
+    target: Annotated[Address, "where the target listens"]
+    certificate: Annotated[Path, "PEM file of the service's certificate"]
+    key: Annotated[Path, "PEM file of its private key"]
+    slots: Annotated[int, "requests the target can run at a time"] = 4
+
+
+class Settings(NamedTuple):
+    """A whole settings file."""
+
+    role: Annotated[Role, "entry or agent"]
+    name: Annotated[str, "name of this instance, unique among all daemons"]
+    data_centre: Annotated[str, "name of the data centre"]
+    store: StoreSettings
+    tunnel: TunnelSettings
+    control: ControlSettings
+    metrics: MetricsSettings = MetricsSettings()
+    entry: EntrySettings = EntrySettings()
+    agent: AgentSettings | None = None
+
+
+class SettingsError(ZinniahookError):
+    """The settings can't be used; the message is one line for operators.
+
+    Parameters
+    ----------
+    code : Code
+        One of the 5xx codes.
+    file : Path
+        The settings file.
+    key : str
+        Dotted name of the setting, or empty if the file itself is at fault.
+    reason : str
+        What is wrong with it.
+    """
+
+    def __init__(self, code: Code, file: Path, key: str, reason: str) -> None:
+        place = f"{file}: {key}" if key else str(file)
+        super().__init__(f"{place}: {reason} [{code.name} {code:d}]", code)
+        self.file = file
+        self.key = key
+        self.reason = reason
+
+
+class _Place(NamedTuple):
+    """Where a value stands: for messages, and as the base of paths."""
+
+    file: Path
+    key: str
+
+    def inside(self, name: str) -> _Place:
+        """Return the place of a setting below this one."""
+        return _Place(self.file, f"{self.key}.{name}" if self.key else name)
+
+    def error(self, code: Code, reason: str) -> SettingsError:
+        """Return an error about this place."""
+        return SettingsError(code, self.file, self.key, reason)
+
+
+Reader = Callable[[Any, _Place], Any]
+_readers_by_type: dict[Any, Reader] = {}
+
+
+def _reads(kind: Any) -> Callable[[Reader], Reader]:
+    """Register a function that checks a TOML value of a setting's type."""
+
+    def register(reader: Reader) -> Reader:
+        _readers_by_type[kind] = reader
+        return reader
+
+    return register
+
+
+def load(file: Path) -> Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    file : Path
+        A TOML file; paths in it are relative to its directory.
+
+    Returns
+    -------
+    Settings
+        The checked settings.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or a setting is unknown, missing, of the
+        wrong type, not an address, or names a file that isn't there.
+    """
+    place = _Place(file, "")
+    try:
+        document = tomllib.loads(file.read_text(encoding="utf-8"))
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise place.error(Code.SETTINGS_UNREADABLE, reason) from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise place.error(Code.SETTINGS_UNREADABLE, f"not TOML: {error}") from None
+    settings = _read_section(Settings, document, place)
+    if settings.role == Role.AGENT and settings.agent is None:
+        raise place.inside("agent").error(Code.SETTINGS_MISSING_KEY, "is missing")
+    return settings
+
+
+def _read_section(model: Any, table: Mapping[str, Any], place: _Place) -> Any:
+    """Check a table against the fields of a section."""
+    types_by_name = get_type_hints(model)
+    for name in table:
+        if name not in types_by_name:
+            raise place.inside(name).error(
+                Code.SETTINGS_UNKNOWN_KEY, "is not a known setting"
+            )
+    for name in model._fields:
+        if name not in table and name not in model._field_defaults:
+            raise place.inside(name).error(Code.SETTINGS_MISSING_KEY, "is missing")
+    values_by_name = {
+        name: _read_value(types_by_name[name], value, place.inside(name))
+        for name, value in table.items()
+    }
+    return model(**values_by_name)
+
+
+def _read_value(kind: Any, value: Any, place: _Place) -> Any:
+    """Check one value against the type of its field."""
+    if type(None) in get_args(kind):
+        kind = next(one for one in get_args(kind) if one is not type(None))
+    if hasattr(kind, "_fields") and kind is not Address:
+        if not isinstance(value, dict):
+            raise place.error(Code.SETTINGS_TYPE, "should be a table")
+        return _read_section(kind, value, place)
+    return _readers_by_type[kind](value, place)
+
+
+@_reads(str)
+def _read_text(value: Any, place: _Place) -> str:
+    if not isinstance(value, str):
+        raise place.error(Code.SETTINGS_TYPE, "should be a string")
+    return value
+
+
+@_reads(Role)
+def _read_role(value: Any, place: _Place) -> Role:
+    if value not in (Role.ENTRY, Role.AGENT):
+        raise place.error(Code.SETTINGS_TYPE, 'should be "entry" or "agent"')
+    return Role(value)
+
+
+@_reads(int)
+def _read_integer(value: Any, place: _Place) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise place.error(Code.SETTINGS_TYPE, "should be a whole number from 0")
+    return value
+
+
+@_reads(float)
+def _read_number(value: Any, place: _Place) -> float:
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not 0 <= value < float("inf"):
+        raise place.error(Code.SETTINGS_TYPE, "should be a number from 0")
+    return float(value)
+
+
+@_reads(Address)
+def _read_address(value: Any, place: _Place) -> Address:
+    if not isinstance(value, str):
+        raise place.error(Code.SETTINGS_TYPE, 'should be a string "host:port"')
+    try:
+        return Address.parse(value)
+    except ValueError as error:
+        raise place.error(Code.SETTINGS_ADDRESS, str(error)) from None
+
+
+@_reads(tuple[Address, ...])
+def _read_addresses(value: Any, place: _Place) -> tuple[Address, ...]:
+    if not isinstance(value, list):
+        raise place.error(Code.SETTINGS_TYPE, "should be a list of addresses")
+    return tuple(_read_address(one, place) for one in value)
+
+
+@_reads(Path)
+def _read_path(value: Any, place: _Place) -> Path:
+    if not isinstance(value, str):
+        raise place.error(Code.SETTINGS_TYPE, "should be the path of a file")
+    path = place.file.parent / value
+    if not path.is_file():
+        raise place.error(Code.SETTINGS_FILE_MISSING, f"no such file: {path}")
+    return path
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/sockets.py
@@ -0,0 +1,90 @@
+"""Non-blocking UDP sockets on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+
+from zinniahook_core.models import Address
+
+__all__ = ["UdpSocket"]
+
+BATCH = 64
+"""Most datagrams read per wake-up, so that a flood can't hold the loop."""
+
+BUFFER = 4 << 20
+"""Bytes asked of the kernel for each direction; it may grant less."""
+
+LARGEST = 65_535
+
+
+class UdpSocket:
+    """A bound UDP socket whose datagrams go to a callback.
+
+    Parameters
+    ----------
+    address : Address
+        Where to bind; port 0 picks a free one.
+    receive : callable
+        Called with each datagram (bytes) and its source, a tuple that starts
+        with host and port. It must not raise.
+
+    Raises
+    ------
+    OSError
+        If the address can't be bound.
+    """
+
+    def __init__(
+        self, address: Address, receive: Callable[[bytes, tuple], None]
+    ) -> None:
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_DGRAM)
+        self._receive = receive
+        self._loop = asyncio.get_running_loop()
+        try:
+            self._socket.setblocking(False)
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER)
+            self._socket.bind(tuple(address))
+        except OSError:
+            self._socket.close()
+            raise
+        self.address = Address(*self._socket.getsockname()[:2])
+        self._loop.add_reader(self._socket.fileno(), self._read)
+
+    def send(self, data: bytes, destination: tuple) -> bool:
+        """Send one datagram without waiting.
+
+        Returns
+        -------
+        bool
+            False if the kernel took no more or refused the destination; the
+            datagram is lost, as it may be anywhere on its way.
+        """
+        try:
+            self._socket.sendto(data, destination)
+        except OSError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Stop reading and release the address."""
+        if self._socket.fileno() < 0:
+            return
+        self._loop.remove_reader(self._socket.fileno())
+        self._socket.close()
+
+    def _read(self) -> None:
+        """Read what has come in, up to a bound."""
+        receive_from = self._socket.recvfrom
+        receive = self._receive
+        # An earlier datagram that met a closed port is reported here as
+        # ECONNREFUSED; it is no fault of this socket, and the loop would
+        # otherwise end its reader. BlockingIOError ends the batch.
+        with contextlib.suppress(OSError):
+            for _ in range(BATCH):
+                data, source = receive_from(LARGEST)
+                receive(data, source)
