--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/configuration.py
@@ -0,0 +1,397 @@
+"""The operators' configuration: one checked document, in TOML in and out.
+
+A `Document` is what operators change; a `Configuration` is one generation of
+it as the daemons use it, with the keys joined in. Keys are kept apart in a
+`KeyRing`, so that no document, diff or history entry can carry a secret.
+"""
+
+from __future__ import annotations
+
+import fnmatch
+import tomllib
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+from .codes import Code, ZinniahookError
+from .models import Address, Configuration, Key, Protocol, RequestClass, Service
+from .schema import (
+    CLASS_FIELDS_BY_NAME,
+    NAME_PATTERN,
+    OPERATOR_FIELDS_BY_NAME,
+    ROLLOUT_FIELDS_BY_NAME,
+    SERVICE_FIELDS_BY_NAME,
+    Field,
+)
+
+__all__ = [
+    "ConfigurationError",
+    "Difference",
+    "Document",
+    "KeyRing",
+    "Operator",
+    "Problem",
+    "Rollout",
+    "compile",
+    "diff",
+    "from_table",
+    "may_serve",
+    "parse",
+    "render",
+    "to_table",
+    "validate",
+]
+
+CLASSES_LIMIT = 16
+"""Request classes a service may have; each costs a queue at every agent."""
+
+
+class Rollout(NamedTuple):
+    """How a change of a risky setting is rolled out.
+
+    ``risky`` are setting names that go out in stages; each stage is watched
+    for ``pause`` seconds, and the change is taken back when the share of
+    flows broken meanwhile is above ``broken_flows``.
+    """
+
+    stages: tuple[str, ...] = ("instance", "data-centre", "all")
+    pause: float = 10.0
+    broken_flows: float = 0.001
+    risky: tuple[str, ...] = ("targets", "data_centres")
+
+
+class Operator(NamedTuple):
+    """What the operator whose certificate carries ``name`` may change.
+
+    ``services`` are name patterns. ``keys`` allows the rotation of keys and
+    ``operators`` the change of this table and of the rollout rules.
+    """
+
+    name: str
+    services: tuple[str, ...] = ()
+    keys: bool = False
+    operators: bool = False
+
+
+class Document(NamedTuple):
+    """The whole configuration without its secrets.
+
+    ``retired`` are numbers of services that were removed: a number on the
+    wire is never given to another service, or a late packet of the old one
+    would reach the new one.
+    """
+
+    services_by_name: Mapping[str, Service] = {}
+    operators_by_name: Mapping[str, Operator] = {}
+    rollout: Rollout = Rollout()
+    retired: tuple[int, ...] = ()
+
+
+class KeyRing(NamedTuple):
+    """The keys of one generation; see `Configuration` for the meaning."""
+
+    flow_keys_by_number: Mapping[int, Key]
+    tunnel_keys_by_number: Mapping[int, Key]
+    flow_key: int
+    tunnel_key: int
+
+
+class Problem(NamedTuple):
+    """One fault of a document at the dotted ``key``."""
+
+    key: str
+    reason: str
+    code: Code = Code.CONFIGURATION_INVALID
+
+    def __str__(self) -> str:
+        return f"{self.key}: {self.reason} (code {int(self.code)})"
+
+
+class Difference(NamedTuple):
+    """One setting that differs; None stands for absent."""
+
+    key: str
+    before: Any
+    after: Any
+
+
+class ConfigurationError(ZinniahookError):
+    """A document that can't be used; ``problems`` names every fault."""
+
+    def __init__(self, problems: tuple[Problem, ...]) -> None:
+        super().__init__("; ".join(map(str, problems)), problems[0].code)
+        self.problems = problems
+
+
+def parse(text: str) -> Document:
+    """Read a TOML document and validate it.
+
+    Raises
+    ------
+    ConfigurationError
+        If it isn't TOML or anything in it is wrong.
+    """
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ConfigurationError((Problem("document", str(error)),)) from None
+    document = from_table(table)
+    problems = validate(document)
+    if problems:
+        raise ConfigurationError(problems)
+    return document
+
+
+def from_table(table: Mapping[str, Any]) -> Document:
+    """Build a document from nested tables, as TOML or JSON gives them.
+
+    Raises
+    ------
+    ConfigurationError
+        If a key is unknown or missing or a value has the wrong type.
+    """
+    reader = _Reader()
+    document = reader.document(table)
+    if reader.problems:
+        raise ConfigurationError(tuple(reader.problems))
+    return document
+
+
+def to_table(document: Document) -> dict[str, Any]:
+    """Turn a document into nested tables of plain values, in a fixed order."""
+    table: dict[str, Any] = {
+        "rollout": _plain(document.rollout, ROLLOUT_FIELDS_BY_NAME),
+        "operators": {
+            name: _plain(operator, OPERATOR_FIELDS_BY_NAME)
+            for name, operator in sorted(document.operators_by_name.items())
+        },
+        "services": {
+            name: _service_table(service)
+            for name, service in sorted(document.services_by_name.items())
+        },
+    }
+    if document.retired:
+        table["retired"] = list(document.retired)
+    return table
+
+
+def render(document: Document) -> str:
+    """Write the document as TOML; `parse` gives the same document back."""
+    # Only the operators' side renders: an agent needn't hold the module.
+    import tomli_w
+
+    return tomli_w.dumps(to_table(document))
+
+
+def validate(
+    document: Document, previous: Document | None = None
+) -> tuple[Problem, ...]:
+    """Find every fault of a document as a whole.
+
+    Parameters
+    ----------
+    document
+        The document to check.
+    previous
+        The document it replaces, if any; numbers must not move.
+    """
+    problems = list(_check_services(document))
+    if previous is not None:
+        problems.extend(_check_numbers(document, previous))
+    return tuple(problems)
+
+
+def compile(document: Document, generation: int, keys: KeyRing) -> Configuration:
+    """Join a valid document and its keys into what the daemons use.
+
+    Raises
+    ------
+    ConfigurationError
+        If a key in use isn't in the ring.
+    """
+    if (
+        keys.flow_key not in keys.flow_keys_by_number
+        or keys.tunnel_key not in keys.tunnel_keys_by_number
+    ):
+        problem = Problem("keys", "the key in use is missing from the ring")
+        raise ConfigurationError((problem,))
+    return Configuration(
+        generation,
+        document.services_by_name,
+        keys.flow_keys_by_number,
+        keys.tunnel_keys_by_number,
+        keys.flow_key,
+        keys.tunnel_key,
+    )
+
+
+def diff(before: Document, after: Document) -> tuple[Difference, ...]:
+    """Compare two documents setting by setting, in the order of the keys."""
+    old = dict(_leaves(to_table(before)))
+    new = dict(_leaves(to_table(after)))
+    keys = sorted(old.keys() | new.keys())
+    return tuple(
+        Difference(key, old.get(key), new.get(key))
+        for key in keys
+        if old.get(key) != new.get(key)
+    )
+
+
+def may_serve(service: Service, name: str, data_centre: str) -> bool:
+    """Tell whether the member ``name`` in ``data_centre`` may serve."""
+    if service.data_centres and data_centre not in service.data_centres:
+        return False
+    return any(fnmatch.fnmatchcase(name, pattern) for pattern in service.targets)
+
+
+def _plain(value: Any, fields: Mapping[str, Field]) -> dict[str, Any]:
+    table = {}
+    for name, field in fields.items():
+        item = getattr(value, name)
+        table[name] = field.write(item)
+    return table
+
+
+def _service_table(service: Service) -> dict[str, Any]:
+    table = _plain(service, SERVICE_FIELDS_BY_NAME)
+    if service.classes_by_name:
+        table["classes"] = {
+            name: _plain(item, CLASS_FIELDS_BY_NAME)
+            for name, item in sorted(service.classes_by_name.items())
+        }
+    return table
+
+
+def _leaves(table: Mapping[str, Any], prefix: str = "") -> Iterator[tuple[str, Any]]:
+    for name, value in table.items():
+        key = f"{prefix}{name}"
+        if isinstance(value, Mapping):
+            yield from _leaves(value, f"{key}.")
+        else:
+            yield key, value
+
+
+class _Reader:
+    """Reads tables and gathers every problem on the way."""
+
+    def __init__(self) -> None:
+        self.problems: list[Problem] = []
+
+    def document(self, table: Mapping[str, Any]) -> Document:
+        for name in table.keys() - {"services", "operators", "rollout", "retired"}:
+            self._fail(name, "unknown key")
+        return Document(
+            self._named(table, "services", "", self._service),
+            self._named(table, "operators", "", self._operator),
+            Rollout(
+                **self._fields(
+                    self._table(table, "rollout", ""), ROLLOUT_FIELDS_BY_NAME, "rollout"
+                )
+            ),
+            self._retired(table.get("retired", [])),
+        )
+
+    def _service(self, name: str, table: Mapping[str, Any], key: str) -> Service:
+        classes = self._named(table, "classes", f"{key}.", self._class)
+        rest = {name: value for name, value in table.items() if name != "classes"}
+        values = self._fields(rest, SERVICE_FIELDS_BY_NAME, key)
+        values.setdefault("number", 0)
+        values.setdefault("address", Address("0.0.0.0", 0))
+        return Service(name, classes_by_name=classes, **values)
+
+    def _class(self, name: str, table: Mapping[str, Any], key: str) -> RequestClass:
+        values = self._fields(table, CLASS_FIELDS_BY_NAME, key)
+        values.setdefault("prefix", "/")
+        return RequestClass(name, **values)
+
+    def _operator(self, name: str, table: Mapping[str, Any], key: str) -> Operator:
+        return Operator(name, **self._fields(table, OPERATOR_FIELDS_BY_NAME, key))
+
+    def _retired(self, value: Any) -> tuple[int, ...]:
+        if isinstance(value, list) and all(type(item) is int for item in value):
+            return tuple(sorted(set(value)))
+        self._fail("retired", "must be a list of service numbers")
+        return ()
+
+    def _named(self, table, name, prefix, read) -> dict[str, Any]:
+        items = {}
+        for item, value in self._table(table, name, prefix).items():
+            key = f"{prefix}{name}.{item}"
+            if not NAME_PATTERN.fullmatch(item):
+                self._fail(key, "a name is letters, digits, '-' or '_', at most 63")
+            elif not isinstance(value, Mapping):
+                self._fail(key, "must be a table")
+            else:
+                items[item] = read(item, value, key)
+        return items
+
+    def _table(self, table, name, prefix) -> Mapping[str, Any]:
+        value = table.get(name, {})
+        if isinstance(value, Mapping):
+            return value
+        self._fail(f"{prefix}{name}", "must be a table")
+        return {}
+
+    def _fields(self, table, fields: Mapping[str, Field], key: str) -> dict[str, Any]:
+        values = {}
+        for name, value in table.items():
+            field = fields.get(name)
+            if field is None:
+                self._fail(f"{key}.{name}", "unknown key")
+                continue
+            try:
+                values[name] = field.read(value)
+            except ValueError as error:
+                self._fail(f"{key}.{name}", str(error))
+        for name, field in fields.items():
+            if field.required and name not in table:
+                self._fail(f"{key}.{name}", "is missing")
+        return values
+
+    def _fail(self, key: str, reason: str) -> None:
+        self.problems.append(Problem(key, reason))
+
+
+def _check_services(document: Document) -> Iterator[Problem]:
+    names_by_number: dict[int, str] = {}
+    names_by_address: dict[Address, str] = {}
+    for name, service in document.services_by_name.items():
+        key = f"services.{name}"
+        other = names_by_number.setdefault(service.number, name)
+        if other != name:
+            yield Problem(f"{key}.number", f"{service.number} is that of {other}")
+        if service.number in document.retired:
+            yield Problem(f"{key}.number", f"{service.number} is retired")
+        other = names_by_address.setdefault(service.address, name)
+        if other != name:
+            yield Problem(f"{key}.address", f"{service.address} is that of {other}")
+        yield from _check_classes(service, key)
+
+
+def _check_classes(service: Service, key: str) -> Iterator[Problem]:
+    classes = service.classes_by_name
+    if classes and service.protocol is Protocol.UDP:
+        yield Problem(f"{key}.classes", "a udp service has no requests to class")
+    if len(classes) > CLASSES_LIMIT:
+        yield Problem(f"{key}.classes", f"more than {CLASSES_LIMIT} classes")
+    if sum(item.share for item in classes.values()) > 1.0 + 1e-9:
+        yield Problem(f"{key}.classes", "the shares add up to more than 1")
+    names_by_prefix: dict[str, str] = {}
+    for name, item in classes.items():
+        other = names_by_prefix.setdefault(item.prefix, name)
+        if other != name:
+            reason = f"{item.prefix!r} is that of {other}"
+            yield Problem(f"{key}.classes.{name}.prefix", reason)
+
+
+def _check_numbers(document: Document, previous: Document) -> Iterator[Problem]:
+    for name, old in previous.services_by_name.items():
+        new = document.services_by_name.get(name)
+        if new is None:
+            if old.number not in document.retired:
+                yield Problem("retired", f"lacks {old.number} of removed {name}")
+        elif new.number != old.number:
+            # Open flows carry the number in their connection ids: entries
+            # would drop their packets as another service's.
+            yield Problem(f"services.{name}.number", f"can't change from {old.number}")
+    for number in sorted(set(previous.retired) - set(document.retired)):
+        yield Problem("retired", f"{number} can't be used again")
