wire: authenticated tunnel datagrams; testkit: start real processes

Cause: entries and agents need to trust each other's datagrams, and tests need real processes. Change: 46-byte header and 16-byte keyed BLAKE2b tag, key ids for rotation, bounded caches of packed addresses; decoding returns a code on any bytes. processes.start waits for a module's ready line; kill, terminate, pause, resume by process id.

--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/processes.py
@@ -0,0 +1,188 @@
+"""Starts Python modules as real processes for tests and benchmarks.
+
+A module that can be started here prints one JSON line on its standard output
+once it is ready; its standard error is passed through.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import selectors
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Mapping
+from types import TracebackType
+from typing import Any
+
+__all__ = ["READY_TIMEOUT", "STOP_TIMEOUT", "NotReadyError", "Process", "start"]
+
+READY_TIMEOUT = 20.0
+"""Seconds that a process has to print its ready line."""
+
+STOP_TIMEOUT = 10.0
+"""Seconds that a terminated process has before it is killed."""
+
+READ_SIZE = 65536
+
+
+class NotReadyError(RuntimeError):
+    """A process ended, or said nothing in time, before it was ready."""
+
+
+class Process:
+    """A running process that has printed its ready line.
+
+    Attributes
+    ----------
+    ready : dict
+        The ready line, decoded.
+    pid : int
+        The process id; signals go to this process only.
+    """
+
+    def __init__(self, popen: subprocess.Popen[bytes], ready: dict[str, Any]) -> None:
+        self._popen = popen
+        self.ready = ready
+        self.pid = popen.pid
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._popen.poll() is None
+
+    @property
+    def status(self) -> int | None:
+        """The exit status, negative for a signal, None while it runs."""
+        return self._popen.poll()
+
+    def wait(self, timeout: float = STOP_TIMEOUT) -> int:
+        """Wait for the end and return the exit status.
+
+        Raises
+        ------
+        subprocess.TimeoutExpired
+            If the process still runs after ``timeout`` seconds.
+        """
+        status = self._popen.wait(timeout)
+        self._close()
+        return status
+
+    def kill(self) -> int:
+        """End the process at once, without any cleanup of its own."""
+        self._send(signal.SIGKILL)
+        return self.wait()
+
+    def terminate(self, timeout: float = STOP_TIMEOUT) -> int:
+        """Ask for a graceful shutdown, and kill after ``timeout`` seconds."""
+        self.ask_to_stop()
+        try:
+            return self.wait(timeout)
+        except subprocess.TimeoutExpired:
+            return self.kill()
+
+    def ask_to_stop(self) -> None:
+        """Send SIGTERM and return at once."""
+        # A stopped process would keep SIGTERM pending for ever.
+        self._send(signal.SIGCONT)
+        self._send(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Stop the process where it stands."""
+        self._send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self._send(signal.SIGCONT)
+
+    def resident(self) -> int:
+        """Return the resident memory in bytes."""
+        with open(f"/proc/{self.pid}/statm") as statm:
+            return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def processor_time(self) -> float:
+        """Return the processor time used so far, in seconds."""
+        with open(f"/proc/{self.pid}/stat") as stat:
+            fields = stat.read().rpartition(")")[2].split()
+        user, system = int(fields[11]), int(fields[12])
+        return (user + system) / os.sysconf("SC_CLK_TCK")
+
+    def _send(self, number: int) -> None:
+        if self.running:
+            self._popen.send_signal(number)
+
+    def _close(self) -> None:
+        if self._popen.stdout:
+            self._popen.stdout.close()
+
+    def __enter__(self) -> Process:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self.running:
+            self.terminate()
+
+
+def start(
+    module: str,
+    *args: object,
+    timeout: float = READY_TIMEOUT,
+    env: Mapping[str, str] | None = None,
+) -> Process:
+    """Run ``python -m module args`` and wait for its ready line.
+
+    Parameters
+    ----------
+    module : str
+        Name of the module to run.
+    *args : object
+        Command line arguments, turned into text.
+    timeout : float
+        Seconds until the process must be ready.
+    env : mapping, optional
+        Variables added to the environment.
+
+    Raises
+    ------
+    NotReadyError
+        If the process ends or stays silent; the process is ended then.
+    """
+    popen = subprocess.Popen(
+        [sys.executable, "-m", module, *map(str, args)],
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        env={**os.environ, **(env or {})},
+    )
+    try:
+        line = _read_line(popen, timeout)
+        ready = json.loads(line)
+    except (NotReadyError, ValueError) as error:
+        popen.kill()
+        status = popen.wait()
+        popen.stdout.close()
+        raise NotReadyError(f"{module}: {error} (status {status})") from error
+    return Process(popen, ready)
+
+
+def _read_line(popen: subprocess.Popen[bytes], timeout: float) -> bytes:
+    """Read the first line without waiting longer than ``timeout``."""
+    deadline = time.monotonic() + timeout
+    data = b""
+    with selectors.DefaultSelector() as selector:
+        selector.register(popen.stdout, selectors.EVENT_READ)
+        while b"\n" not in data:
+            left = deadline - time.monotonic()
+            if left <= 0 or not selector.select(left):
+                raise NotReadyError(f"not ready after {timeout} s")
+            chunk = os.read(popen.stdout.fileno(), READ_SIZE)
+            if not chunk:
+                raise NotReadyError(f"ended before it was ready: {data!r}")
+            data += chunk
+    return data.partition(b"\n")[0]
--- /dev/null
+++ b/packages/zinniahook-wire/src/zinniahook_wire/tunnels.py
@@ -0,0 +1,203 @@
+"""Authenticated datagrams between the processes of zinniahook.
+
+Layout, in network byte order::
+
+    key id 1 | kind 1 | version and flags 1 | hops 1 | service 2 |
+    generation 4 | caller 18 | entry 18 | tag 16 | payload
+
+An address is 16 bytes of IPv6, or of IPv4 mapped into it, and a port. The tag
+is a keyed BLAKE2b of everything else. This is the packet path: every call
+counts, and the modules that call it are to be measured when it changes.
+"""
+
+from __future__ import annotations
+
+import enum
+import functools
+import hashlib
+import hmac
+import socket
+import struct
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from zinniahook_core.codes import Code
+from zinniahook_core.models import Address, Key
+
+__all__ = ["NO_ADDRESS", "OVERHEAD", "Tunnel", "TunnelDatagram", "TunnelKind"]
+
+NO_ADDRESS = Address("0.0.0.0", 0)
+"""Stands where a datagram names no address."""
+
+_HEADER = struct.Struct("!BBBBHI18s18s")
+_PORT = struct.Struct("!H")
+_TAG_SIZE = 16
+_PAYLOAD_AT = _HEADER.size + _TAG_SIZE
+
+OVERHEAD = _PAYLOAD_AT
+"""Bytes that the tunnel adds to each payload."""
+
+_VERSION = 0x10
+_HANDED = 0x01
+_MAPPED = bytes(10) + b"\xff\xff"
+
+ADDRESS_CACHE_SIZE = 8192
+"""Addresses kept packed and unpacked, each way; about 2 MB together."""
+
+
+class TunnelKind(enum.IntEnum):
+    """Which way a tunnel datagram goes."""
+
+    TO_AGENT = 1
+    TO_CALLER = 2
+    PEER = 3
+
+
+class TunnelDatagram(NamedTuple):
+    """One datagram between an entry and an agent, or between two agents.
+
+    Attributes
+    ----------
+    kind : TunnelKind
+        Which way it goes.
+    service : int
+        Number of the service, 0 to 65535.
+    generation : int
+        Configuration generation in force at the sender, 32 bits.
+    hops : int
+        How many agents have passed the datagram on, 0 to 255.
+    handed : bool
+        Whether the receiver owns the flow from now on.
+    caller, entry : Address
+        The caller, and the entry that answers go out of.
+    payload : bytes
+        The caller's or target's datagram, or an encoded peer message.
+    """
+
+    kind: TunnelKind
+    service: int
+    generation: int
+    hops: int
+    handed: bool
+    caller: Address
+    entry: Address
+    payload: bytes
+
+
+_KINDS_BY_NUMBER = {int(kind): kind for kind in TunnelKind}
+
+
+@functools.lru_cache(ADDRESS_CACHE_SIZE)
+def _pack_address(address: tuple[str, int]) -> bytes:
+    host, port = address
+    if ":" in host:
+        # A scope ("%eth0") means something on this machine only.
+        packed = socket.inet_pton(socket.AF_INET6, host.partition("%")[0])
+    else:
+        packed = _MAPPED + socket.inet_pton(socket.AF_INET, host)
+    return packed + _PORT.pack(port)
+
+
+@functools.lru_cache(ADDRESS_CACHE_SIZE)
+def _unpack_address(packed: bytes) -> Address:
+    (port,) = _PORT.unpack_from(packed, 16)
+    if packed.startswith(_MAPPED):
+        return Address(socket.inet_ntop(socket.AF_INET, packed[12:16]), port)
+    return Address(socket.inet_ntop(socket.AF_INET6, packed[:16]), port)
+
+
+class Tunnel:
+    """Encodes and decodes tunnel datagrams under a set of keys.
+
+    Parameters
+    ----------
+    keys_by_number : Mapping[int, Key]
+        Keys that are accepted; numbers from 0 to 255, secrets up to 64 bytes.
+    key : int
+        Number of the key in use for encoding.
+
+    Raises
+    ------
+    ValueError
+        If ``key`` is not among the keys, or a number or a secret is out of
+        range.
+    """
+
+    def __init__(self, keys_by_number: Mapping[int, Key], key: int) -> None:
+        if key not in keys_by_number:
+            raise ValueError(f"tunnel key {key} is not among the keys")
+        for number in keys_by_number:
+            if not 0 <= number <= 0xFF:
+                raise ValueError(f"tunnel key number out of range: {number}")
+        # Hashing the key anew for each datagram would double the cost of a
+        # short one; a copy of the keyed state doesn't.
+        self._copies_by_number = {
+            number: hashlib.blake2b(digest_size=_TAG_SIZE, key=key.secret).copy
+            for number, key in keys_by_number.items()
+        }
+        self._copy = self._copies_by_number[key]
+        self.key = key
+
+    def encode(self, datagram: TunnelDatagram) -> bytes:
+        """Encode and authenticate a datagram.
+
+        Raises
+        ------
+        ValueError
+            If a number is out of range or an address is not an IP address.
+        """
+        kind, service, generation, hops, handed, caller, entry, payload = datagram
+        try:
+            header = _HEADER.pack(
+                self.key,
+                kind,
+                _VERSION | _HANDED if handed else _VERSION,
+                hops,
+                service,
+                generation,
+                _pack_address(caller),
+                _pack_address(entry),
+            )
+        except (struct.error, OSError) as error:
+            raise ValueError(f"cannot be encoded: {error}") from None
+        digest = self._copy()
+        digest.update(header)
+        digest.update(payload)
+        return b"".join((header, digest.digest(), payload))
+
+    def decode(self, data: bytes) -> TunnelDatagram | Code:
+        """Check and decode a datagram; never raises, whatever the bytes.
+
+        Returns
+        -------
+        TunnelDatagram or Code
+            TUNNEL_MALFORMED, TUNNEL_KEY_UNKNOWN or TUNNEL_UNAUTHENTICATED
+            for a datagram that is not to be trusted.
+        """
+        if len(data) < _PAYLOAD_AT:
+            return Code.TUNNEL_MALFORMED
+        copy = self._copies_by_number.get(data[0])
+        if copy is None:
+            return Code.TUNNEL_KEY_UNKNOWN
+        payload = data[_PAYLOAD_AT:]
+        digest = copy()
+        digest.update(data[: _HEADER.size])
+        digest.update(payload)
+        if not hmac.compare_digest(digest.digest(), data[_HEADER.size : _PAYLOAD_AT]):
+            return Code.TUNNEL_UNAUTHENTICATED
+        (_, number, flags, hops, service, generation, caller, entry) = (
+            _HEADER.unpack_from(data)
+        )
+        kind = _KINDS_BY_NUMBER.get(number)
+        if kind is None or flags & ~_HANDED != _VERSION:
+            return Code.TUNNEL_MALFORMED
+        return TunnelDatagram(
+            kind,
+            service,
+            generation,
+            hops,
+            flags != _VERSION,
+            _unpack_address(caller),
+            _unpack_address(entry),
+            payload,
+        )
--- /dev/null
+++ b/packages/zinniahook-wire/tests/test_tunnels.py
@@ -0,0 +1,147 @@
+"""Tunnel datagrams: what is sealed comes back, and nothing else gets in."""
+
+import ipaddress
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from zinniahook_core.codes import Code
+from zinniahook_core.models import Address, Key
+from zinniahook_wire.tunnels import OVERHEAD, Tunnel, TunnelDatagram, TunnelKind
+
+OLD = Key(1, b"o" * 32)
+NEW = Key(2, b"n" * 32)
+FOREIGN = Key(2, b"f" * 32)
+REFUSALS = {
+    Code.TUNNEL_MALFORMED,
+    Code.TUNNEL_KEY_UNKNOWN,
+    Code.TUNNEL_UNAUTHENTICATED,
+}
+
+
+def is_plain(address):
+    """Whether the text form is unique (an IPv4-mapped one reads as IPv4)."""
+    return address.version == 4 or address.ipv4_mapped is None
+
+
+hosts = st.ip_addresses().filter(is_plain).map(str)
+addresses = st.builds(Address, hosts, st.integers(0, 0xFFFF))
+datagrams = st.builds(
+    TunnelDatagram,
+    st.sampled_from(TunnelKind),
+    st.integers(0, 0xFFFF),
+    st.integers(0, 0xFFFFFFFF),
+    st.integers(0, 0xFF),
+    st.booleans(),
+    addresses,
+    addresses,
+    st.binary(max_size=1500),
+)
+
+
+def example(**changes):
+    """Return an ordinary datagram with some fields changed."""
+    caller = Address("10.1.2.3", 4000)
+    entry = Address("2001:db8::1", 9)
+    datagram = TunnelDatagram(
+        TunnelKind.TO_AGENT, 7, 41, 1, True, caller, entry, b"payload"
+    )
+    return datagram._replace(**changes)
+
+
+class TestRoundTrip:
+    @given(datagrams)
+    def test_every_field_comes_back(self, datagram):
+        tunnel = Tunnel({2: NEW}, 2)
+        data = tunnel.encode(datagram)
+        assert len(data) == OVERHEAD + len(datagram.payload)
+        assert tunnel.decode(data) == datagram
+
+    def test_types_come_back(self):
+        tunnel = Tunnel({2: NEW}, 2)
+        decoded = tunnel.decode(tunnel.encode(example()))
+        assert isinstance(decoded.kind, TunnelKind)
+        assert isinstance(decoded.caller, Address)
+        assert ipaddress.ip_address(decoded.caller.host).version == 4
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"hops": 256},
+            {"service": 65536},
+            {"generation": -1},
+            {"caller": Address("tally.example", 1)},
+            {"entry": Address("10.0.0.1", 70000)},
+        ],
+    )
+    def test_what_has_no_room_is_refused(self, changes):
+        with pytest.raises(ValueError, match="cannot be encoded"):
+            Tunnel({2: NEW}, 2).encode(example(**changes))
+
+
+class TestKeys:
+    def test_old_key_is_accepted_during_rotation(self):
+        """Old key during a rotation.
+
+        Symptom: datagrams of a process that has not yet learned the new key
+        are dropped. Sequence: the key in use changes at one side first.
+        Cause: only the newest key would be accepted.
+        """
+        before = Tunnel({1: OLD}, 1)
+        between = Tunnel({1: OLD, 2: NEW}, 1)
+        after = Tunnel({1: OLD, 2: NEW}, 2)
+        assert after.decode(before.encode(example())) == example()
+        assert between.decode(after.encode(example())) == example()
+
+    def test_key_in_use_must_be_known(self):
+        with pytest.raises(ValueError, match="not among"):
+            Tunnel({1: OLD}, 2)
+
+    def test_retired_key_is_refused(self):
+        data = Tunnel({1: OLD}, 1).encode(example())
+        assert Tunnel({2: NEW}, 2).decode(data) is Code.TUNNEL_KEY_UNKNOWN
+
+
+class TestRefusal:
+    @given(st.binary(max_size=200))
+    def test_foreign_bytes(self, data):
+        assert Tunnel({2: NEW}, 2).decode(data) in REFUSALS
+
+    @given(st.binary(max_size=120))
+    def test_foreign_bytes_with_a_known_key_id(self, data):
+        decoded = Tunnel({2: NEW}, 2).decode(b"\x02" + data)
+        assert decoded in REFUSALS
+
+    @given(datagrams, st.data())
+    def test_one_changed_bit(self, datagram, data):
+        tunnel = Tunnel({2: NEW}, 2)
+        sealed = bytearray(tunnel.encode(datagram))
+        bit = data.draw(st.integers(0, len(sealed) * 8 - 1))
+        sealed[bit // 8] ^= 1 << bit % 8
+        assert tunnel.decode(bytes(sealed)) in REFUSALS
+
+    @given(datagrams, st.integers(1, 2000))
+    def test_cut_short(self, datagram, amount):
+        tunnel = Tunnel({2: NEW}, 2)
+        sealed = tunnel.encode(datagram)
+        assert tunnel.decode(sealed[:-amount]) in REFUSALS
+
+    def test_same_key_id_with_another_secret(self):
+        data = Tunnel({2: FOREIGN}, 2).encode(example())
+        assert Tunnel({2: NEW}, 2).decode(data) is Code.TUNNEL_UNAUTHENTICATED
+
+    def test_unknown_version_of_an_authentic_sender(self):
+        """Datagram of a later version.
+
+        Symptom: fields are read at the wrong places. Sequence: a newer
+        release holds the same key and sends its own layout. Cause: the key
+        proves the sender, not the layout.
+        """
+        tunnel = Tunnel({2: NEW}, 2)
+        copied = tunnel._copy
+        sealed = bytearray(tunnel.encode(example()))
+        sealed[2] = 0x20
+        digest = copied()
+        digest.update(sealed[: OVERHEAD - 16] + sealed[OVERHEAD:])
+        sealed[OVERHEAD - 16 : OVERHEAD] = digest.digest()
+        assert tunnel.decode(bytes(sealed)) is Code.TUNNEL_MALFORMED
