--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/entries.py
@@ -0,0 +1,268 @@
+"""The decisions of an entry: to which agent a caller's datagram goes.
+
+An entry holds no per-flow truth. A connection id names its owner; a plain UDP
+flow is routed by its rank, and the cache of owners is a hint that may be lost
+at any time. The agent that gets the datagram has the last word.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from . import rendezvous
+from .codes import Code
+from .effects import Count, Drop, EntryEffect, Log, ToAgent
+from .events import (
+    AnswerSeen,
+    CallerDatagram,
+    ConfigurationChanged,
+    EntryEvent,
+    RosterChanged,
+    Tick,
+)
+from .models import (
+    Address,
+    AgentState,
+    Configuration,
+    Member,
+    Protocol,
+    Roster,
+    Service,
+)
+from .routing import ConnectionIds, Owner, destination_of, flow_key, may_serve
+from .suspensions import Suspensions
+
+__all__ = ["EntryCore"]
+
+OWNERS_LIMIT = 65536
+
+
+@dataclass(slots=True)
+class ServiceView:
+    """What an entry knows of one service's agents."""
+
+    suspensions: Suspensions
+    roster: Roster | None = None
+    address_by_name: dict[str, Address] = field(default_factory=dict)
+    live: frozenset[Address] = frozenset()
+    fallback: tuple[str, ...] = ()
+
+
+class EntryCore:
+    """Routes callers' datagrams to agents.
+
+    Parameters
+    ----------
+    rng : random.Random
+        The only source of randomness.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._configuration: Configuration | None = None
+        self._connection_ids: ConnectionIds | None = None
+        self._views_by_service: dict[str, ServiceView] = {}
+        self._owners: OrderedDict[tuple[str, Address], Address] = OrderedDict()
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The highest generation learned so far."""
+        return self._configuration
+
+    @property
+    def generation(self) -> int:
+        """The generation in force here; 0 before the first."""
+        return self._configuration.generation if self._configuration else 0
+
+    def roster(self, service: str) -> Roster | None:
+        """Return the newest roster learned of ``service``."""
+        view = self._views_by_service.get(service)
+        return view.roster if view else None
+
+    def suspended(self, service: str) -> tuple[str, ...]:
+        """Return the agents that get no new flows from this entry now."""
+        view = self._views_by_service.get(service)
+        return view.suspensions.suspended if view else ()
+
+    def handle(self, now: float, event: EntryEvent) -> list[EntryEffect]:
+        """Apply one event; return what the driver must do, in order."""
+        if isinstance(event, CallerDatagram):
+            return self._datagram(now, event)
+        if isinstance(event, AnswerSeen):
+            return self.answered(now, event.service, event.caller, event.agent)
+        if isinstance(event, Tick):
+            return self._tick(now)
+        if isinstance(event, ConfigurationChanged):
+            return self._configure(event.configuration)
+        if isinstance(event, RosterChanged):
+            return self._replace_roster(event.roster)
+        raise TypeError(f"not an event of an entry: {event!r}")
+
+    def route(
+        self, now: float, service: Service, caller: Address, payload: bytes
+    ) -> Address | Code:
+        """Choose the agent for a datagram; the packet path.
+
+        Returns
+        -------
+        Address
+            The tunnel address of the agent.
+        Code
+            Why the datagram is dropped.
+        """
+        if service.protocol is Protocol.UDP:
+            return self._route_udp(now, service, caller)
+        if self._connection_ids is None:
+            return Code.SERVICE_UNKNOWN
+        destination = destination_of(payload)
+        if isinstance(destination, Code):
+            return destination
+        is_long, connection_id = destination
+        owner = self._connection_ids.decode(connection_id)
+        if isinstance(owner, Owner):
+            # A packet of one service must never reach another's target, so
+            # an id that was issued under another address goes no further.
+            if owner.service != service.number:
+                return Code.SERVICE_MISMATCH
+            return owner.agent
+        if not is_long:
+            return Code.CONNECTION_ID_UNKNOWN
+        return self._route_opening(now, service, caller, connection_id)
+
+    def answered(
+        self, now: float, service: str, caller: Address, agent: Address
+    ) -> list[EntryEffect]:
+        """Learn from an answer of ``agent`` to ``caller``."""
+        view = self._views_by_service.get(service)
+        if view is None or agent not in view.live:
+            return []
+        if self._is_udp(service):
+            self._remember(service, caller, agent)
+        reinstated = view.suspensions.answered(now, caller)
+        if reinstated is None:
+            return []
+        return [_log("agent-reinstated", service, reinstated)]
+
+    def _datagram(self, now: float, event: CallerDatagram) -> list[EntryEffect]:
+        configuration = self._configuration
+        service = configuration and configuration.services_by_name.get(event.service)
+        if not service:
+            return [Drop(Code.SERVICE_UNKNOWN)]
+        routed = self.route(now, service, event.caller, event.payload)
+        return [Drop(routed) if isinstance(routed, Code) else ToAgent(routed)]
+
+    def _route_udp(
+        self, now: float, service: Service, caller: Address
+    ) -> Address | Code:
+        flow = (service.name, caller)
+        owner = self._owners.get(flow)
+        if owner is None:
+            return self._route_opening(now, service, caller, flow_key(caller))
+        view = self._views_by_service.get(service.name)
+        if view is not None and owner in view.live:
+            self._owners.move_to_end(flow)
+            return owner
+        del self._owners[flow]
+        return self._route_opening(now, service, caller, flow_key(caller))
+
+    def _route_opening(
+        self, now: float, service: Service, caller: Address, key: bytes
+    ) -> Address | Code:
+        view = self._views_by_service.get(service.name)
+        if view is None:
+            return Code.NO_AGENT
+        name = view.suspensions.choose(now, key)
+        if name is None:
+            return self._fallback(view, key)
+        view.suspensions.opened(now, name, caller)
+        return view.address_by_name[name]
+
+    def _fallback(self, view: ServiceView, key: bytes) -> Address | Code:
+        # Nobody is ready, but a leaving agent may still own this UDP flow,
+        # or answer a new one with a refusal that tells the caller when.
+        if not view.fallback:
+            return Code.NO_AGENT
+        return view.address_by_name[rendezvous.best(key, view.fallback)]
+
+    def _remember(self, service: str, caller: Address, agent: Address) -> None:
+        owners = self._owners
+        flow = (service, caller)
+        owners[flow] = agent
+        owners.move_to_end(flow)
+        if len(owners) > OWNERS_LIMIT:
+            owners.popitem(last=False)
+
+    def _is_udp(self, name: str) -> bool:
+        if self._configuration is None:
+            return False
+        service = self._configuration.services_by_name.get(name)
+        return service is not None and service.protocol is Protocol.UDP
+
+    def _tick(self, now: float) -> list[EntryEffect]:
+        effects: list[EntryEffect] = []
+        for name, view in self._views_by_service.items():
+            for agent in view.suspensions.expire(now):
+                effects.append(Count("entry.suspended"))
+                effects.append(_log("agent-suspended", name, agent))
+        return effects
+
+    def _configure(self, configuration: Configuration) -> list[EntryEffect]:
+        # Messages overtake each other: without this check a late copy of an
+        # old generation would silently undo an accepted change.
+        if configuration.generation <= self.generation:
+            return [Count("entry.configuration_ignored")]
+        self._configuration = configuration
+        self._connection_ids = ConnectionIds(
+            configuration.flow_keys_by_number, configuration.flow_key, self._rng
+        )
+        for view in self._views_by_service.values():
+            if view.roster is not None:
+                self._refresh(view, view.roster)
+        fields = (("generation", configuration.generation),)
+        return [Log("configuration-in-force", fields)]
+
+    def _replace_roster(self, roster: Roster) -> list[EntryEffect]:
+        view = self._views_by_service.get(roster.service)
+        if view is None:
+            view = ServiceView(Suspensions(self._rng))
+            self._views_by_service[roster.service] = view
+        if view.roster is not None and roster.revision <= view.roster.revision:
+            return [Count("entry.roster_ignored")]
+        self._refresh(view, roster)
+        fields = (("service", roster.service), ("revision", roster.revision))
+        return [Log("roster-learned", fields)]
+
+    def _refresh(self, view: ServiceView, roster: Roster) -> None:
+        former = view.roster.by_name if view.roster else {}
+        members = roster.by_name.values()
+        live = [member for member in members if member.state is not AgentState.DOWN]
+        restarted = [
+            member.name
+            for member in live
+            if member.name in former
+            and former[member.name].incarnation != member.incarnation
+        ]
+        ready = [
+            member.name
+            for member in live
+            if member.state is AgentState.READY and self._may_serve(roster, member)
+        ]
+        view.roster = roster
+        view.address_by_name = {member.name: member.tunnel for member in live}
+        view.live = frozenset(view.address_by_name.values())
+        view.fallback = tuple(
+            member.name for member in live if member.state is AgentState.LEAVING
+        )
+        view.suspensions.replace(ready, restarted)
+
+    def _may_serve(self, roster: Roster, member: Member) -> bool:
+        if self._configuration is None:
+            return True
+        service = self._configuration.services_by_name.get(roster.service)
+        return service is None or may_serve(service, member)
+
+
+def _log(event: str, service: str, agent: str) -> Log:
+    return Log(event, (("service", service), ("agent", agent)))
--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/rendezvous.py
@@ -0,0 +1,59 @@
+"""Rendezvous (highest random weight) hashing.
+
+Every process that knows the same names ranks them alike for a key, with no
+state and no coordination. When a name joins or leaves, only the keys move
+that it wins or has won, and the former best is exactly the next in rank.
+"""
+
+from __future__ import annotations
+
+import functools
+from collections.abc import Iterable
+
+from xxhash import xxh3_64_intdigest
+
+__all__ = ["best", "rank"]
+
+SEEDS_KEPT = 65536
+
+
+@functools.lru_cache(maxsize=SEEDS_KEPT)
+def _seed(name: str) -> int:
+    """Hash a name once; per key only one more hash is needed."""
+    return xxh3_64_intdigest(name.encode())
+
+
+def rank(key: bytes, names: Iterable[str]) -> list[str]:
+    """Rank ``names`` for ``key``, best first.
+
+    Parameters
+    ----------
+    key : bytes
+        What is to be placed.
+    names : iterable of str
+        The candidates, in any order.
+
+    Returns
+    -------
+    list of str
+        Every name once; the order depends on the set of names alone.
+    """
+    weighed = [(xxh3_64_intdigest(key, _seed(name)), name) for name in set(names)]
+    weighed.sort(reverse=True)
+    return [name for _, name in weighed]
+
+
+def best(key: bytes, names: Iterable[str]) -> str:
+    """Return the first of ``rank(key, names)`` without sorting.
+
+    Raises
+    ------
+    ValueError
+        If there are no names.
+    """
+    chosen = max(
+        ((xxh3_64_intdigest(key, _seed(name)), name) for name in names), default=None
+    )
+    if chosen is None:
+        raise ValueError("no names to choose from")
+    return chosen[1]
