testkit: stand-ins for the fabric and for a target

The whole path needs something that sprays each datagram over the live entries, and targets that keep their own ledger of what ran. Both are real processes; faults and service times are seeded and can be changed while they run.

--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/fabric.py
@@ -0,0 +1,357 @@
+"""Stand-in for the platform's fabric: a UDP relay that sprays packets.
+
+Run ``python -m zinniahook_testkit.fabric '<settings as JSON>'``. The fabric
+owns the public address of every service. Each datagram of a caller goes to a
+random live entry, whatever flow it belongs to; what any entry answers goes
+back from the public address. Faults are drawn from one seeded generator.
+
+When ready it prints ``{"ready": {"admin": ..., "services": {name: ...}}}``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import json
+import random
+import signal
+import socket
+import sys
+from collections import Counter
+from typing import Any, NamedTuple, TypedDict
+
+import tornado.web
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+__all__ = ["Fabric", "FabricSettings", "Faults", "main"]
+
+MAX_CALLERS = 4096
+MAX_IDLE = 300.0
+MAX_DATAGRAM = 65535
+BATCH = 64
+SOCKET_BUFFER = 1 << 21
+SWEEP_INTERVAL = 5.0
+
+
+class FabricSettings(TypedDict, total=False):
+    """Settings of a fabric process, as JSON on its command line."""
+
+    host: str
+    services: list[str]
+    entries: list[str]
+    seed: int
+    faults: dict[str, float]
+
+
+class Faults(NamedTuple):
+    """Faults of each direction; shares from 0 to 1, times in seconds.
+
+    ``latency`` is one way. A reordered datagram waits ``reorder_delay``
+    longer than the others, ``jitter`` is the upper end of a uniform extra
+    wait of every datagram.
+    """
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    reordering: float = 0.0
+    reorder_delay: float = 0.01
+    latency: float = 0.0
+    jitter: float = 0.0
+
+
+class Caller:
+    """The socket that stands for one caller address towards the entries."""
+
+    def __init__(self, address: tuple[str, int], relay: socket.socket) -> None:
+        self.address = address
+        self.relay = relay
+        self.last_used = 0.0
+        self.silent = False
+
+
+class Fabric:
+    """Relay datagrams between callers and entries on the running loop.
+
+    Parameters
+    ----------
+    host : str
+        Loopback host of the public service addresses.
+    services : list of str
+        Names of the services; each gets a port picked by the system.
+    entries : list of str
+        Loopback hosts of the live entries; each binds the same ports.
+    rng : random.Random
+        Source of every random choice.
+    """
+
+    def __init__(
+        self, host: str, services: list[str], entries: list[str], rng: random.Random
+    ) -> None:
+        self.entries = list(entries)
+        self.faults = Faults()
+        self.counts: Counter[str] = Counter()
+        self.sockets_by_service: dict[str, socket.socket] = {}
+        self.callers_by_address: dict[tuple[str, int], Caller] = {}
+        self._sockets_by_port: dict[int, socket.socket] = {}
+        self._host = host
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._waiting: list[tuple[float, int, socket.socket, bytes, Any]] = []
+        self._sequence = 0
+        self._timer: asyncio.TimerHandle | None = None
+        for service in services:
+            self._bind(service)
+        self._sweeper = self._loop.call_later(SWEEP_INTERVAL, self._sweep)
+
+    @property
+    def addresses_by_service(self) -> dict[str, str]:
+        """Public address of each service as ``host:port``."""
+        return {
+            name: "{}:{}".format(*public.getsockname())
+            for name, public in self.sockets_by_service.items()
+        }
+
+    def silence(self, count: int, address: tuple[str, int] | None = None) -> list[str]:
+        """Make caller addresses silent for good, in both directions.
+
+        Returns
+        -------
+        list of str
+            The addresses chosen: ``address`` if given, else up to ``count``
+            of those in use, at random.
+        """
+        if address is not None:
+            chosen = [address] if address in self.callers_by_address else []
+        else:
+            known = sorted(
+                caller.address
+                for caller in self.callers_by_address.values()
+                if not caller.silent
+            )
+            chosen = self._rng.sample(known, min(count, len(known)))
+        for item in chosen:
+            self.callers_by_address[item].silent = True
+        return ["{}:{}".format(*item) for item in chosen]
+
+    def close(self) -> None:
+        """Close every socket."""
+        self._sweeper.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+        for public in self.sockets_by_service.values():
+            self._loop.remove_reader(public)
+            public.close()
+        for caller in self.callers_by_address.values():
+            self._loop.remove_reader(caller.relay)
+            caller.relay.close()
+
+    def _bind(self, service: str) -> None:
+        public = _udp_socket(self._host)
+        self.sockets_by_service[service] = public
+        self._sockets_by_port[public.getsockname()[1]] = public
+        self._loop.add_reader(public, self._read_callers, public)
+
+    def _read_callers(self, public: socket.socket) -> None:
+        port = public.getsockname()[1]
+        for _ in range(BATCH):
+            try:
+                data, address = public.recvfrom(MAX_DATAGRAM)
+            except BlockingIOError:
+                return
+            self.counts["from_callers"] += 1
+            caller = self._caller(address)
+            if caller is None or caller.silent or not self.entries:
+                self.counts["swallowed"] += 1
+                continue
+            for wait in self._waits():
+                entry = self._rng.choice(self.entries)
+                self.counts[f"to_entry_{entry}"] += 1
+                self._send(wait, caller.relay, data, (entry, port))
+
+    def _read_entries(self, caller: Caller) -> None:
+        for _ in range(BATCH):
+            try:
+                data, (_, port) = caller.relay.recvfrom(MAX_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An entry was killed: ICMP may be reported on the next read.
+                continue
+            self.counts["from_entries"] += 1
+            public = self._sockets_by_port.get(port)
+            if public is None or caller.silent:
+                self.counts["swallowed"] += 1
+                continue
+            for wait in self._waits():
+                self._send(wait, public, data, caller.address)
+
+    def _caller(self, address: tuple[str, int]) -> Caller | None:
+        caller = self.callers_by_address.get(address)
+        if caller is None:
+            if len(self.callers_by_address) >= MAX_CALLERS:
+                return None
+            caller = Caller(address, _udp_socket(self._host))
+            self.callers_by_address[address] = caller
+            self._loop.add_reader(caller.relay, self._read_entries, caller)
+        caller.last_used = self._loop.time()
+        return caller
+
+    def _waits(self) -> list[float]:
+        """Draw the fate of one datagram: when each of its copies is sent."""
+        faults, rng = self.faults, self._rng
+        if faults.loss and rng.random() < faults.loss:
+            self.counts["lost"] += 1
+            return []
+        wait = faults.latency
+        if faults.jitter:
+            wait += rng.random() * faults.jitter
+        if faults.reordering and rng.random() < faults.reordering:
+            self.counts["reordered"] += 1
+            wait += faults.reorder_delay
+        if faults.duplication and rng.random() < faults.duplication:
+            self.counts["duplicated"] += 1
+            return [wait, wait]
+        return [wait]
+
+    def _send(self, wait: float, via: socket.socket, data: bytes, to: Any) -> None:
+        if wait <= 0:
+            _send_now(via, data, to)
+            return
+        self._sequence += 1
+        due = self._loop.time() + wait
+        heapq.heappush(self._waiting, (due, self._sequence, via, data, to))
+        self._arm()
+
+    def _arm(self) -> None:
+        due = self._waiting[0][0]
+        if self._timer is not None:
+            if self._timer.when() <= due:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(due, self._send_due)
+
+    def _send_due(self) -> None:
+        self._timer = None
+        now = self._loop.time()
+        while self._waiting and self._waiting[0][0] <= now:
+            _, _, via, data, to = heapq.heappop(self._waiting)
+            _send_now(via, data, to)
+        if self._waiting:
+            self._arm()
+
+    def _sweep(self) -> None:
+        oldest = self._loop.time() - MAX_IDLE
+        for address, caller in list(self.callers_by_address.items()):
+            if caller.last_used < oldest:
+                self._loop.remove_reader(caller.relay)
+                caller.relay.close()
+                del self.callers_by_address[address]
+        self._sweeper = self._loop.call_later(SWEEP_INTERVAL, self._sweep)
+
+
+class AdminHandler(tornado.web.RequestHandler):
+    """Control of a running fabric over HTTP with JSON bodies.
+
+    ``POST /faults`` replaces the faults, ``POST /entries`` takes ``add`` and
+    ``remove``, ``POST /silence`` takes ``count`` or ``caller``; each answers
+    with the status, which ``GET /status`` gives too.
+    """
+
+    def initialize(self, fabric: Fabric) -> None:
+        """Keep the fabric that is controlled."""
+        self.fabric = fabric
+
+    def get(self, action: str) -> None:
+        """Answer with the status."""
+        self._finish_status()
+
+    def post(self, action: str) -> None:
+        """Change the fabric."""
+        body = json.loads(self.request.body or b"{}")
+        if action == "faults":
+            try:
+                self.fabric.faults = Faults(**body)
+            except TypeError as error:
+                raise tornado.web.HTTPError(400, str(error)) from error
+            self._finish_status()
+        elif action == "entries":
+            self._change_entries(body)
+            self._finish_status()
+        elif action == "silence":
+            self.finish({"silenced": self._silence(body)})
+        else:
+            raise tornado.web.HTTPError(404)
+
+    def _change_entries(self, body: dict[str, str]) -> None:
+        entries = self.fabric.entries
+        added, removed = body.get("add"), body.get("remove")
+        if added and added not in entries:
+            entries.append(added)
+        if removed and removed in entries:
+            entries.remove(removed)
+
+    def _silence(self, body: dict[str, Any]) -> list[str]:
+        if "caller" not in body:
+            return self.fabric.silence(int(body.get("count", 1)))
+        host, _, port = body["caller"].rpartition(":")
+        return self.fabric.silence(1, (host, int(port)))
+
+    def _finish_status(self) -> None:
+        fabric = self.fabric
+        self.finish(
+            {
+                "entries": fabric.entries,
+                "faults": fabric.faults._asdict(),
+                "counts": dict(fabric.counts),
+                "callers": len(fabric.callers_by_address),
+            }
+        )
+
+
+def _udp_socket(host: str) -> socket.socket:
+    result = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    result.setblocking(False)
+    result.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
+    result.bind((host, 0))
+    return result
+
+
+def _send_now(via: socket.socket, data: bytes, to: Any) -> None:
+    try:
+        via.sendto(data, to)
+    except OSError:
+        # A full socket buffer or a socket that was swept: the network may
+        # drop any datagram, so the relay may too.
+        pass
+
+
+async def serve(settings: FabricSettings) -> None:
+    """Run a fabric until SIGTERM or SIGINT."""
+    host = settings.get("host", "127.0.0.1")
+    rng = random.Random(settings.get("seed", 0))
+    fabric = Fabric(host, settings["services"], settings.get("entries", []), rng)
+    fabric.faults = Faults(**settings.get("faults", {}))
+    admin = bind_sockets(0, "127.0.0.1", socket.AF_INET)
+    routes = [(r"/([a-z]+)", AdminHandler, {"fabric": fabric})]
+    HTTPServer(tornado.web.Application(routes)).add_sockets(admin)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    ready = {
+        "admin": "{}:{}".format(*admin[0].getsockname()),
+        "services": fabric.addresses_by_service,
+    }
+    print(json.dumps({"ready": ready}), flush=True)
+    await stopped.wait()
+    fabric.close()
+
+
+def main() -> None:
+    """Read the settings from the command line and run a fabric."""
+    asyncio.run(serve(json.loads(sys.argv[1])))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/target.py
@@ -0,0 +1,476 @@
+"""Stand-in for one target: feeds, tickets, exports and a UDP counter.
+
+Run ``python -m zinniahook_testkit.target '<settings as JSON>'``. Callers are
+served on one address; a second one (admin) changes the behaviour and shows
+what really ran. The stand-in counts for itself, so that its ledger can
+convict the system in front of it.
+
+When ready it prints
+``{"ready": {"target": ..., "admin": ..., "udp": ...}}``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import hashlib
+import json
+import random
+import signal
+import socket
+import sys
+import time
+from collections import Counter
+from typing import Any, TypedDict
+
+import tornado.web
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+
+__all__ = ["Behaviour", "Target", "TargetSettings", "export_digest", "main"]
+
+CHUNK = 65536
+MAX_DATAGRAM = 65535
+MAX_BODY = 1 << 20
+LAG_KEPT = 256
+
+
+class TargetSettings(TypedDict, total=False):
+    """Settings of a target process, as JSON on its command line."""
+
+    service: str
+    name: str
+    slots: int
+    seed: int
+    behaviour: Behaviour
+
+
+class Behaviour(TypedDict, total=False):
+    """How the target behaves; every key may be changed while it runs.
+
+    ``service_time`` (s) is the mean of an Erlang-4 distribution, multiplied
+    by ``slowness``, and by ``cold_factor`` during the first ``cold`` seconds.
+    ``shed_share`` is the part of requests shed at once, ``shed_queue`` the
+    waiting requests beyond which all are shed. ``health`` and ``load`` are
+    ``honest``, ``lagging`` (by ``lag`` seconds), ``lying`` (always fine and
+    idle) or ``failing``. ``export_rate`` (B/s) bounds one export, 0 does not.
+    """
+
+    service_time: float
+    slowness: float
+    cold: float
+    cold_factor: float
+    shed_share: float
+    shed_queue: int
+    retry_after: float
+    health: str
+    load: str
+    lag: float
+    export_rate: float
+
+
+DEFAULT_BEHAVIOUR: Behaviour = {
+    "service_time": 0.02,
+    "slowness": 1.0,
+    "cold": 0.0,
+    "cold_factor": 4.0,
+    "shed_share": 0.0,
+    "shed_queue": 1 << 30,
+    "retry_after": 0.2,
+    "health": "honest",
+    "load": "honest",
+    "lag": 5.0,
+    "export_rate": 0.0,
+}
+
+
+@functools.cache
+def export_block(service: str) -> bytes:
+    """Return the block that an export of ``service`` repeats."""
+    return random.Random(service).randbytes(CHUNK)
+
+
+@functools.lru_cache(maxsize=64)
+def export_digest(service: str, size: int) -> str:
+    """Return the SHA-256 of an export of ``size`` bytes, in hexadecimal."""
+    digest = hashlib.sha256()
+    block = export_block(service)
+    for _ in range(size // CHUNK):
+        digest.update(block)
+    digest.update(block[: size % CHUNK])
+    return digest.hexdigest()
+
+
+class Target:
+    """The state of one target: its slots, its behaviour and its ledger."""
+
+    def __init__(
+        self, service: str, name: str, slots: int, rng: random.Random, **behaviour: Any
+    ) -> None:
+        self.service = service
+        self.name = name
+        self.slots = slots
+        self.behaviour: Behaviour = {**DEFAULT_BEHAVIOUR}
+        self.change(behaviour)
+        self.started_at = time.monotonic()
+        self.busy = 0
+        self.waiting = 0
+        self.feeds = 0
+        self.counts: Counter[str] = Counter()
+        self.runs_by_ticket: Counter[str] = Counter()
+        self.finished_by_ticket: Counter[str] = Counter()
+        self.runs_by_key: Counter[str] = Counter()
+        self.work = 0.0
+        self._semaphore = asyncio.Semaphore(slots)
+        self._rng = rng
+        self._history: list[tuple[float, dict[str, Any]]] = []
+
+    def change(self, behaviour: dict[str, Any]) -> None:
+        """Change the behaviour.
+
+        Raises
+        ------
+        KeyError
+            If a key is not one of `Behaviour`.
+        """
+        for key, value in behaviour.items():
+            if key not in DEFAULT_BEHAVIOUR:
+                raise KeyError(key)
+            self.behaviour[key] = value
+
+    def shed(self) -> bool:
+        """Decide whether to shed a request before it takes a slot."""
+        behaviour = self.behaviour
+        if self.waiting > behaviour["shed_queue"]:
+            return True
+        return self._rng.random() < behaviour["shed_share"]
+
+    async def take_slot(self) -> None:
+        """Wait for a free slot; the caller must `free_slot` it."""
+        self.waiting += 1
+        try:
+            await self._semaphore.acquire()
+        finally:
+            self.waiting -= 1
+        self.busy += 1
+
+    def free_slot(self) -> None:
+        """Free a slot taken by `take_slot`."""
+        self.busy -= 1
+        self._semaphore.release()
+
+    def service_time(self) -> float:
+        """Draw the service time of one ticket, in seconds."""
+        behaviour = self.behaviour
+        mean = behaviour["service_time"] * behaviour["slowness"]
+        if time.monotonic() - self.started_at < behaviour["cold"]:
+            mean *= behaviour["cold_factor"]
+        return self._rng.gammavariate(4, mean / 4)
+
+    def load(self) -> dict[str, Any]:
+        """Return what the load endpoint says, as the behaviour has it."""
+        now = time.monotonic()
+        truth = {
+            "slots": self.slots,
+            "busy": self.busy,
+            "queued": self.waiting,
+            "flows": self.feeds,
+            "streams": self.feeds,
+            "cold": float(now - self.started_at < self.behaviour["cold"]),
+        }
+        self._history.append((now, truth))
+        del self._history[:-LAG_KEPT]
+        mode = self.behaviour["load"]
+        if mode == "lying":
+            return {**truth, "busy": 0, "queued": 0}
+        if mode == "lagging":
+            limit = now - self.behaviour["lag"]
+            old = [load for at, load in self._history if at <= limit]
+            return old[-1] if old else self._history[0][1]
+        return truth
+
+    def ledger(self) -> dict[str, Any]:
+        """Return the target's own record of what ran."""
+        return {
+            "service": self.service,
+            "target": self.name,
+            "slots": self.slots,
+            "counts": dict(self.counts),
+            "work": self.work,
+            "feeds": self.feeds,
+            "runs_by_ticket": dict(self.runs_by_ticket),
+            "finished_by_ticket": dict(self.finished_by_ticket),
+            "runs_by_key": dict(self.runs_by_key),
+        }
+
+
+class TargetHandler(tornado.web.RequestHandler):
+    """Base of the handlers that do work for callers."""
+
+    def initialize(self, target: Target) -> None:
+        """Keep the target that serves the request."""
+        self.target = target
+        self.gone = asyncio.Event()
+
+    def on_connection_close(self) -> None:
+        """Notice that the request was cancelled."""
+        self.gone.set()
+
+    def refuse(self, reason: str) -> None:
+        """Answer that the request was not run."""
+        self.target.counts[reason] += 1
+        self.set_status(503)
+        self.set_header("Retry-After", str(self.target.behaviour["retry_after"]))
+        self.set_header("zinniahook-outcome", "not-run")
+        self.finish({"error": reason})
+
+    async def enter(self) -> bool:
+        """Take a slot, unless the request is shed, cancelled or too late."""
+        if self.target.shed():
+            self.refuse("shed")
+            return False
+        deadline = float(self.request.headers.get("zinniahook-deadline", "inf"))
+        arrived = time.monotonic()
+        await self.target.take_slot()
+        if self.gone.is_set():
+            self.target.free_slot()
+            self.target.counts["cancelled_before"] += 1
+            return False
+        if time.monotonic() - arrived > deadline:
+            self.target.free_slot()
+            self.refuse("expired")
+            return False
+        return True
+
+    async def work_for(self, seconds: float) -> bool:
+        """Work, and return whether the work was finished, not cancelled."""
+        began = time.monotonic()
+        try:
+            await asyncio.wait_for(self.gone.wait(), seconds)
+        except TimeoutError:
+            return True
+        finally:
+            self.target.work += time.monotonic() - began
+        return False
+
+
+class TicketHandler(TargetHandler):
+    """Non-idempotent work: load tickets, loans and renewals.
+
+    The body is a JSON object; ``ticket`` names the piece of business, so
+    that a second run shows even under another Idempotency-Key.
+    """
+
+    async def post(self, kind: str) -> None:
+        """Run one ticket."""
+        try:
+            ticket = str(json.loads(self.request.body)["ticket"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise tornado.web.HTTPError(400, "no ticket") from error
+        if not await self.enter():
+            return
+        target = self.target
+        try:
+            target.counts[f"started_{kind}"] += 1
+            target.runs_by_ticket[ticket] += 1
+            key = self.request.headers.get("Idempotency-Key", "")
+            if key:
+                target.runs_by_key[key] += 1
+            if not await self.work_for(target.service_time()):
+                target.counts["cancelled_after"] += 1
+                return
+            target.finished_by_ticket[ticket] += 1
+            target.counts[f"finished_{kind}"] += 1
+        finally:
+            target.free_slot()
+        self.finish(
+            {
+                "ticket": ticket,
+                "run": target.runs_by_ticket[ticket],
+                "service": target.service,
+                "target": target.name,
+            }
+        )
+
+
+class FeedHandler(TargetHandler):
+    """A long-lived stream of numbered JSON lines."""
+
+    async def get(self) -> None:
+        """Send a line ``every`` so many seconds, ``count`` lines or for ever."""
+        every = float(self.get_query_argument("every", "0.5"))
+        count = int(self.get_query_argument("count", "0"))
+        target = self.target
+        target.counts["started_feed"] += 1
+        target.feeds += 1
+        number = 0
+        self.set_header("Content-Type", "application/x-ndjson")
+        try:
+            while not self.gone.is_set():
+                number += 1
+                line = {"service": target.service, "target": target.name, "n": number}
+                self.write(json.dumps(line) + "\n")
+                await self.flush()
+                if number == count:
+                    target.counts["finished_feed"] += 1
+                    return
+                await self._pause(every)
+        except StreamClosedError:
+            pass
+        finally:
+            target.feeds -= 1
+
+    async def _pause(self, seconds: float) -> None:
+        try:
+            await asyncio.wait_for(self.gone.wait(), seconds)
+        except TimeoutError:
+            pass
+
+
+class ExportHandler(TargetHandler):
+    """A large export, written only as fast as it is taken."""
+
+    async def get(self, _: str) -> None:
+        """Send ``size`` bytes; ``x-digest`` is their SHA-256."""
+        size = int(self.get_query_argument("size", str(CHUNK)))
+        if not await self.enter():
+            return
+        target = self.target
+        target.counts["started_export"] += 1
+        self.set_header("Content-Type", "application/octet-stream")
+        self.set_header("Content-Length", str(size))
+        self.set_header("x-digest", export_digest(target.service, size))
+        self.set_header("x-target", target.name)
+        self.set_header("x-service", target.service)
+        began = time.monotonic()
+        try:
+            await self._send(size)
+            target.counts["finished_export"] += 1
+        except StreamClosedError:
+            target.counts["cancelled_after"] += 1
+        finally:
+            target.work += time.monotonic() - began
+            target.free_slot()
+
+    async def _send(self, size: int) -> None:
+        block = export_block(self.target.service)
+        rate = self.target.behaviour["export_rate"]
+        for offset in range(0, size, CHUNK):
+            part = block[: size - offset]
+            self.write(part)
+            await self.flush()
+            self.target.counts["export_bytes"] += len(part)
+            if rate:
+                await asyncio.sleep(len(part) / rate)
+
+
+class HealthHandler(TargetHandler):
+    """The health and load endpoints, which may lag or mislead."""
+
+    def get(self, kind: str) -> None:
+        """Answer as the behaviour says."""
+        if self.target.behaviour[kind] == "failing":
+            raise tornado.web.HTTPError(503)
+        self.finish({"healthy": True} if kind == "health" else self.target.load())
+
+
+class AdminHandler(TargetHandler):
+    """``GET /ledger-of-runs`` and ``POST /behaviour``."""
+
+    def get(self, action: str) -> None:
+        """Show the ledger."""
+        if action != "ledger-of-runs":
+            raise tornado.web.HTTPError(404)
+        self.finish(self.target.ledger())
+
+    def post(self, action: str) -> None:
+        """Change the behaviour."""
+        if action != "behaviour":
+            raise tornado.web.HTTPError(404)
+        try:
+            self.target.change(json.loads(self.request.body))
+        except (KeyError, ValueError) as error:
+            raise tornado.web.HTTPError(400, str(error)) from error
+        self.finish(dict(self.target.behaviour))
+
+
+class UdpCounter(asyncio.DatagramProtocol):
+    """Answers each datagram with service, target, its number and itself.
+
+    Numbers count the datagrams of one source, so a flow that changed its
+    target or lost its state there starts again at 1.
+    """
+
+    def __init__(self, target: Target) -> None:
+        self.target = target
+        self.count_by_source: Counter[Any] = Counter()
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, source: Any) -> None:
+        """Answer a datagram."""
+        if source not in self.count_by_source:
+            self.target.counts["started_flow"] += 1
+        self.count_by_source[source] += 1
+        self.target.counts["datagrams"] += 1
+        head = f"{self.target.service} {self.target.name} "
+        number = self.count_by_source[source]
+        self.transport.sendto(f"{head}{number} ".encode() + data, source)
+
+
+def application(target: Target) -> tornado.web.Application:
+    """Return the application that callers reach."""
+    given = {"target": target}
+    return tornado.web.Application(
+        [
+            (r"/(tickets|loans|renewals)", TicketHandler, given),
+            (r"/(?:tally|loans|requests)/feed", FeedHandler, given),
+            (r"/(ledger|catalogue)", ExportHandler, given),
+            (r"/(health|load)", HealthHandler, given),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+async def serve(settings: TargetSettings) -> None:
+    """Run a target until SIGTERM or SIGINT."""
+    target = Target(
+        settings["service"],
+        settings["name"],
+        settings.get("slots", 4),
+        random.Random(settings.get("seed", 0)),
+        **settings.get("behaviour", {}),
+    )
+    public = bind_sockets(0, "127.0.0.1", socket.AF_INET)
+    HTTPServer(application(target), max_body_size=MAX_BODY).add_sockets(public)
+    admin = bind_sockets(0, "127.0.0.1", socket.AF_INET)
+    routes = [(r"/([a-z-]+)", AdminHandler, {"target": target})]
+    HTTPServer(
+        tornado.web.Application(routes, log_function=lambda handler: None)
+    ).add_sockets(admin)
+    loop = asyncio.get_running_loop()
+    udp, _ = await loop.create_datagram_endpoint(
+        lambda: UdpCounter(target), ("127.0.0.1", 0)
+    )
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    ready = {
+        "target": "{}:{}".format(*public[0].getsockname()),
+        "admin": "{}:{}".format(*admin[0].getsockname()),
+        "udp": "{}:{}".format(*udp.get_extra_info("sockname")),
+    }
+    print(json.dumps({"ready": ready}), flush=True)
+    await stopped.wait()
+
+
+def main() -> None:
+    """Read the settings from the command line and run a target."""
+    asyncio.run(serve(json.loads(sys.argv[1])))
+
+
+if __name__ == "__main__":
+    main()
