--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
@@ -0,0 +1,230 @@
+"""The entry: takes callers' datagrams and hands them to agents.
+
+It keeps no state of a flow, so it may be killed at any moment and any other
+entry goes on with the next datagram. Nothing is sent to a caller but what an
+authenticated agent answered, so an entry can't amplify.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable
+from functools import partial
+from typing import Any
+
+from zinniahook_core.codes import Code
+from zinniahook_core.effects import Count, EntryEffect, Log
+from zinniahook_core.entries import EntryCore
+from zinniahook_core.events import ConfigurationChanged, RosterChanged, Tick
+from zinniahook_core.models import Address, Configuration, Roster, Service
+from zinniahook_wire.tunnels import NO_ADDRESS, OVERHEAD, TunnelDatagram, TunnelKind
+
+from .node import Node
+from .sockets import UdpSocket
+
+__all__ = ["Entry", "serve"]
+
+TICK = 0.1
+"""Seconds between the ticks of the core."""
+
+BIND_RETRY = 5.0
+"""Seconds between attempts to bind an address that was taken."""
+
+LONGEST_PAYLOAD = 65_507 - OVERHEAD
+"""Longest datagram taken from a caller, in bytes: what fits into the tunnel."""
+
+
+async def serve(node: Node) -> None:
+    """Serve as an entry until the node is stopping, then drain.
+
+    Parameters
+    ----------
+    node : Node
+        A started node.
+    """
+    entry = Entry(node)
+    await node.ready()
+    node.announce(services=entry.addresses())
+    await node.stopping.wait()
+    # The fabric sends datagrams here until it notices; those that arrive
+    # meanwhile would be lost and each cost its caller a retransmission.
+    node.log("entry-draining", seconds=node.settings.entry.drain)
+    await asyncio.sleep(node.settings.entry.drain)
+    entry.close()
+
+
+class ServiceSocket:
+    """The socket of one service address, as the entry binds it."""
+
+    def __init__(self, entry: Entry, service: Service, address: Address) -> None:
+        self.service = service
+        self.bound = address
+        self._socket = UdpSocket(address, partial(entry.forward, self))
+        self.send = self._socket.send
+        self.address = self._socket.address
+
+    def close(self) -> None:
+        """Release the address."""
+        self._socket.close()
+
+
+class Entry:
+    """Routes between callers and agents.
+
+    Parameters
+    ----------
+    node : Node
+        A started node.
+    """
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._core = EntryCore(random.Random())
+        self._counters = node.metrics.counters_by_name
+        self._sockets_by_number: dict[int, ServiceSocket] = {}
+        self._refused: set[int] = set()
+        node.on_tunnel(self._answer)
+        node.on_configuration(self._configure)
+        node.on_roster(self._learn_roster)
+        node.on_status(self._status)
+        node.every(TICK, self._tick)
+        node.every(BIND_RETRY, self._retry_binding)
+
+    def addresses(self) -> dict[str, str]:
+        """Return the bound address of each service by its name."""
+        return {
+            each.service.name: str(each.address)
+            for each in self._sockets_by_number.values()
+        }
+
+    def forward(self, socket: ServiceSocket, payload: bytes, source: tuple) -> None:
+        """Route a caller's datagram; the packet path."""
+        node = self._node
+        if len(payload) > LONGEST_PAYLOAD:
+            self._drop(Code.DATAGRAM_TOO_LONG)
+            return
+        caller = Address(source[0], source[1])
+        service = socket.service
+        agent = self._core.route(node.now(), service, caller, payload)
+        if isinstance(agent, Code):
+            self._drop(agent)
+            return
+        self._counters["entry.to_agents"] += 1
+        node.send_tunnel(
+            agent,
+            TunnelDatagram(
+                TunnelKind.TO_AGENT,
+                service.number,
+                node.generation,
+                0,
+                False,
+                caller,
+                NO_ADDRESS,
+                payload,
+            ),
+        )
+
+    def close(self) -> None:
+        """Release every service address."""
+        for socket in self._sockets_by_number.values():
+            socket.close()
+        self._sockets_by_number.clear()
+
+    def _answer(self, datagram: TunnelDatagram, source: Address) -> None:
+        """Send an agent's answer out of the service's address."""
+        if datagram.kind is not TunnelKind.TO_CALLER:
+            self._drop(Code.TUNNEL_MALFORMED)
+            return
+        socket = self._sockets_by_number.get(datagram.service)
+        if socket is None:
+            self._drop(Code.SERVICE_UNKNOWN)
+            return
+        if not socket.send(datagram.payload, datagram.caller):
+            self._drop(Code.SOCKET_FULL)
+            return
+        self._counters["entry.to_callers"] += 1
+        name = socket.service.name
+        self._execute(
+            self._core.answered(self._node.now(), name, datagram.caller, source)
+        )
+
+    def _drop(self, code: Code) -> None:
+        self._counters[f"entry.dropped.{code.name}"] += 1
+
+    def _configure(self, configuration: Configuration) -> None:
+        self._handle(ConfigurationChanged(configuration))
+        services_by_number = {
+            service.number: service
+            for service in configuration.services_by_name.values()
+        }
+        for number in list(self._sockets_by_number):
+            service = services_by_number.get(number)
+            socket = self._sockets_by_number[number]
+            if service is None or self._bind_address(service) != socket.bound:
+                socket.close()
+                del self._sockets_by_number[number]
+            else:
+                socket.service = service
+        self._refused &= set(services_by_number)
+        for number, service in services_by_number.items():
+            if number not in self._sockets_by_number:
+                self._bind(service)
+
+    def _bind_address(self, service: Service) -> Address:
+        host = self._node.settings.entry.bind_host or service.address.host
+        return Address(host, service.address.port)
+
+    def _bind(self, service: Service) -> None:
+        """Bind a service's address; if it is taken, the others go on."""
+        try:
+            socket = ServiceSocket(self, service, self._bind_address(service))
+        except OSError as error:
+            if service.number not in self._refused:
+                self._node.log(
+                    "service-not-bound",
+                    service=service.name,
+                    address=str(self._bind_address(service)),
+                    reason=error.strerror or str(error),
+                )
+            self._refused.add(service.number)
+            self._node.count("entry.not_bound")
+            return
+        self._refused.discard(service.number)
+        self._sockets_by_number[service.number] = socket
+
+    def _retry_binding(self) -> None:
+        configuration = self._node.configuration
+        if not self._refused or configuration is None:
+            return
+        for service in configuration.services_by_name.values():
+            if service.number in self._refused:
+                self._bind(service)
+
+    def _learn_roster(self, roster: Roster) -> None:
+        self._handle(RosterChanged(roster))
+
+    def _tick(self) -> None:
+        self._handle(Tick())
+
+    def _handle(self, event: Any) -> None:
+        self._execute(self._core.handle(self._node.now(), event))
+
+    def _execute(self, effects: Iterable[EntryEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Count):
+                self._node.count(effect.name, effect.amount)
+            elif isinstance(effect, Log):
+                self._node.log(effect.event, **dict(effect.fields))
+
+    def _status(self) -> dict[str, Any]:
+        """Return what `Control.Status` adds for an entry."""
+        return {
+            "services": self.addresses(),
+            "not_bound": len(self._refused),
+            "suspended_by_service": {
+                each.service.name: list(suspended)
+                for each in self._sockets_by_number.values()
+                if (suspended := self._core.suspended(each.service.name))
+            },
+        }
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/main.py
@@ -0,0 +1,86 @@
+"""The command line of ``zinniahookd``."""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+import signal
+import sys
+from pathlib import Path
+
+import defopt
+from zinniahook_core.codes import ZinniahookError
+
+from . import logs
+from .settings import Role, Settings, SettingsError, load
+
+__all__ = ["main", "zinniahookd"]
+
+EXIT_SETTINGS = 2
+"""Status when the settings can't be used."""
+
+EXIT_FAILED = 1
+"""Status when the daemon can't start, for example as an address is taken."""
+
+MODULES_BY_ROLE = {Role.ENTRY: "entries", Role.AGENT: "agents"}
+
+
+def main() -> None:
+    """Run ``zinniahookd`` with the arguments of the process."""
+    sys.exit(defopt.run(zinniahookd))
+
+
+def zinniahookd(*, settings: Path, check: bool = False) -> int:
+    """Serve as an entry or as the agent of a target.
+
+    Parameters
+    ----------
+    settings : Path
+        The settings file, in TOML.
+    check : bool
+        Only check the settings.
+
+    Returns
+    -------
+    int
+        Status of the process: 0, 1 if it can't start, 2 for bad settings.
+    """
+    try:
+        loaded = load(settings)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    if check:
+        return 0
+    logs.configure(loaded.name)
+    try:
+        asyncio.run(_serve(loaded))
+    except (ZinniahookError, OSError) as error:
+        logs.log("failed", reason=str(error), code=int(getattr(error, "code", 0)))
+        return EXIT_FAILED
+    return 0
+
+
+async def _serve(settings: Settings) -> None:
+    """Build the node and serve its role until it is stopped."""
+    from .node import Node
+
+    # A role is imported only where it is served: an entry ends no QUIC
+    # connection and would carry some 10 MB of it for nothing.
+    module = MODULES_BY_ROLE[settings.role]
+    role = importlib.import_module(f".{module}", __package__)
+    node = Node(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    await node.start()
+    try:
+        await role.serve(node)
+    finally:
+        await node.stop()
+        node.log("stopped")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -118,8 +119,26 @@
         self.metrics.flush()
 
     async def ready(self) -> None:
-        """Wait until a configuration is in force."""
-        await self.distribution.learned.wait()
+        """Wait until a configuration is in force, or the node is stopping."""
+        waits = [
+            asyncio.ensure_future(event.wait())
+            for event in (self.distribution.learned, self.stopping)
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+
+    def announce(self, **addresses: Any) -> None:
+        """Print the line that tells that this daemon is ready."""
+        ready = {
+            "role": self.settings.role,
+            "name": self.settings.name,
+            "tunnel": str(self.tunnel_address),
+            "control": str(self.control_address),
+            **addresses,
+        }
+        print(json.dumps({"ready": ready}), flush=True)
+        self.log("ready", generation=self.generation)
 
     # The tunnel
 
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/settings.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/settings.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import enum
+import ipaddress
 import tomllib
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -22,15 +24,11 @@
 ]
 
 
-class Role(str):
-    """What the daemon does: ``entry`` or ``agent``."""
+class Role(enum.StrEnum):
+    """What the daemon does."""
 
-    ENTRY: Role
-    AGENT: Role
-
-
-Role.ENTRY = Role("entry")
-Role.AGENT = Role("agent")
+    ENTRY = "entry"
+    AGENT = "agent"
 
 
 class StoreSettings(NamedTuple):
@@ -177,6 +175,10 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise place.error(Code.SETTINGS_UNREADABLE, f"not TOML: {error}") from None
     settings = _read_section(Settings, document, place)
+    if not settings.store.addresses:
+        raise place.inside("store.addresses").error(
+            Code.SETTINGS_ADDRESS, "should hold at least one address"
+        )
     if settings.role == Role.AGENT and settings.agent is None:
         raise place.inside("agent").error(Code.SETTINGS_MISSING_KEY, "is missing")
     return settings
@@ -220,9 +222,11 @@
 
 @_reads(Role)
 def _read_role(value: Any, place: _Place) -> Role:
-    if value not in (Role.ENTRY, Role.AGENT):
-        raise place.error(Code.SETTINGS_TYPE, 'should be "entry" or "agent"')
-    return Role(value)
+    try:
+        return Role(value)
+    except ValueError:
+        reason = 'should be "entry" or "agent"'
+        raise place.error(Code.SETTINGS_TYPE, reason) from None
 
 
 @_reads(int)
@@ -245,9 +249,11 @@
     if not isinstance(value, str):
         raise place.error(Code.SETTINGS_TYPE, 'should be a string "host:port"')
     try:
-        return Address.parse(value)
+        address = Address.parse(value)
+        ipaddress.ip_address(address.host)
     except ValueError as error:
         raise place.error(Code.SETTINGS_ADDRESS, str(error)) from None
+    return address
 
 
 @_reads(tuple[Address, ...])
