Admit requests by slots, deadlines and classes at one agent

Cause: requests had no admission at all. Change: slots before work, a bounded queue by deadline, weighted classes, a retry budget and spaced Retry-After; copies of a keyed request join, replay or follow at one agent. No measurement yet.

--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/admission.py
@@ -0,0 +1,398 @@
+"""Which requests get a slot of the target, wait, or are refused at once.
+
+A request holds slots before any work is done for it. Classes share the slots
+by weight, so none starves; what a class leaves unused others may borrow.
+The variants that were weighed and their figures are in
+docs/design/admission.md.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from .budgets import RetryBudget, ReturnSchedule
+from .codes import Code
+from .models import RequestClass
+from .queues import DeadlineQueue
+
+__all__ = ["Admission", "Decision", "Verdict"]
+
+FIRST_MEAN = 0.05
+MEAN_WEIGHT = 0.1
+LONG_SERVICE = 1.0
+LEAST_WEIGHT = 0.05
+COLD_SHARE = 0.25
+
+
+class Verdict(enum.Enum):
+    """What becomes of a request that asks for a slot."""
+
+    START = "start"
+    QUEUED = "queued"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """A verdict; a refusal says why and when to come back (seconds)."""
+
+    verdict: Verdict
+    code: Code = Code.OK
+    retry_after: float = 0.0
+
+
+@dataclass(slots=True)
+class ClassState:
+    """The requests of one class that run or wait, and how long they take."""
+
+    rule: RequestClass
+    returns: ReturnSchedule
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    queue: DeadlineQueue = field(default_factory=DeadlineQueue)
+    started_by_request: dict[int, float] = field(default_factory=dict)
+    weight: float = 1.0
+    guaranteed: int = 0
+    virtual: float = 0.0
+    mean: float = FIRST_MEAN
+    sampled: bool = False
+
+    @property
+    def need(self) -> int:
+        """Slots that one request holds."""
+        return self.rule.slots
+
+    @property
+    def in_use(self) -> int:
+        """Slots that this class holds now."""
+        return self.need * len(self.started_by_request)
+
+    @property
+    def active(self) -> bool:
+        """Whether the class competes for slots."""
+        return self.need > 0 and bool(self.started_by_request or len(self.queue))
+
+    def sample(self, seconds: float) -> None:
+        """Take one measured service time into the mean."""
+        weight = MEAN_WEIGHT if self.sampled else 1.0
+        self.mean += weight * (max(seconds, 1e-4) - self.mean)
+        self.sampled = True
+
+
+class Admission:
+    """Slots of one target, shared by classes of requests.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the target takes at once.
+    classes_by_name : mapping of str to RequestClass
+        The classes of the service; if empty, every kind is one class.
+    rng : random.Random
+        Draws the jitter of Retry-After.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        classes_by_name: Mapping[str, RequestClass],
+        rng: random.Random,
+    ) -> None:
+        self._rng = rng
+        self._slots = slots
+        self._cold = 0.0
+        self._classes_by_name: dict[str, ClassState] = {}
+        self._class_by_request: dict[int, ClassState] = {}
+        self._displaced: list[int] = []
+        self.configure(slots, classes_by_name)
+
+    @property
+    def slots(self) -> int:
+        """Slots in use at most, fewer while the target is cold."""
+        share = 1.0 - self._cold * (1.0 - COLD_SHARE)
+        return max(1, math.floor(self._slots * share + 1e-9))
+
+    @property
+    def busy(self) -> int:
+        """Slots held now."""
+        return sum(state.in_use for state in self._classes_by_name.values())
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return sum(len(state.queue) for state in self._classes_by_name.values())
+
+    @property
+    def streams(self) -> int:
+        """Long-lived streams in progress."""
+        return sum(
+            len(state.started_by_request)
+            for state in self._classes_by_name.values()
+            if state.need == 0
+        )
+
+    def configure(
+        self, slots: int, classes_by_name: Mapping[str, RequestClass]
+    ) -> None:
+        """Take new rules; what runs or waits goes on under them.
+
+        A class that is gone keeps its requests until they end, and takes no
+        new ones.
+        """
+        self._slots = slots
+        rules = classes_by_name or {"": RequestClass("", "")}
+        for name, rule in rules.items():
+            state = self._classes_by_name.get(name)
+            if state is None:
+                state = ClassState(rule, ReturnSchedule(self._rng))
+                self._classes_by_name[name] = state
+            state.rule = rule
+        for name in [name for name in self._classes_by_name if name not in rules]:
+            state = self._classes_by_name[name]
+            if not state.started_by_request and not len(state.queue):
+                del self._classes_by_name[name]
+        self._rules = rules
+        self._weigh()
+
+    def warm(self, cold: float) -> None:
+        """Set how cold the target is: 1 just after its start, 0 when warm."""
+        self._cold = min(1.0, max(0.0, cold))
+
+    def rule(self, kind: str) -> RequestClass | None:
+        """Return the rule of a kind of request, None if there is none."""
+        return self._rules.get(kind, self._rules.get(""))
+
+    def free(self, kind: str) -> bool:
+        """Tell whether a request of this kind would start at once."""
+        state = self._state(kind)
+        return state is not None and self._fits(state)
+
+    def offer(
+        self, now: float, request: int, kind: str, attempt: int, deadline: float
+    ) -> Decision:
+        """Decide on a new request.
+
+        Parameters
+        ----------
+        now, deadline : float
+            Monotonic seconds; past ``deadline`` the answer is of no use.
+        request : int
+            The caller's name for it in later calls.
+        kind : str
+            The name of its class.
+        attempt : int
+            The count of attempts from 1, or 0 if it isn't known.
+        """
+        state = self._state(kind)
+        if state is None:
+            return Decision(Verdict.REFUSED, Code.CLASS_UNKNOWN)
+        if attempt <= 1:
+            state.budget.attempted()
+        if deadline <= now:
+            return self._refuse(now, state, Code.DEADLINE_EXPIRED)
+        if not len(state.queue) and self._fits(state):
+            self._start(now, state, request)
+            return Decision(Verdict.START)
+        return self._enqueue(now, state, request, attempt, deadline)
+
+    def requeue(self, now: float, request: int, kind: str, deadline: float) -> None:
+        """Queue a request that gave its slot back, past the queue's bound.
+
+        It was admitted before, so refusing it now would only waste work.
+        """
+        state = self._state(kind)
+        if state is None:
+            return
+        self._class_by_request[request] = state
+        state.queue.push(deadline, request)
+
+    def start(self, now: float) -> list[int]:
+        """Return the queued requests that hold a slot from now on."""
+        started = []
+        while state := self._next_class():
+            request = state.queue.pop().request
+            self._start(now, state, request)
+            started.append(request)
+        return started
+
+    def hopeless(self, now: float) -> list[tuple[int, Decision]]:
+        """Remove queued requests that can't meet their deadline any more.
+
+        They are told at once: waiting on would only cost the caller the time
+        in which it could have come back.
+        """
+        given_up = [
+            (request, self._refuse(now, self._class_by_request[request]))
+            for request in self._displaced
+        ]
+        self._displaced.clear()
+        for state in self._classes_by_name.values():
+            for place, waiting in enumerate(state.queue):
+                if self._feasible(now, state, place, waiting.deadline):
+                    continue
+                state.queue.remove(waiting.request)
+                refusal = self._refuse(now, state, Code.DEADLINE_EXPIRED)
+                given_up.append((waiting.request, refusal))
+        for request, _ in given_up:
+            self._class_by_request.pop(request, None)
+        return given_up
+
+    def refuse(self, now: float, kind: str, code: Code) -> Decision:
+        """Return a refusal for another reason, with its Retry-After."""
+        state = self._state(kind)
+        if state is None:
+            return Decision(Verdict.REFUSED, code)
+        return self._refuse(now, state, code)
+
+    def release(self, now: float, request: int, answered: bool) -> None:
+        """Free what a request holds or waits for.
+
+        ``answered`` tells that it ran to its end: then its time counts for
+        the mean and feeds the retry budget.
+        """
+        state = self._class_by_request.pop(request, None)
+        if state is None:
+            return
+        if state.queue.remove(request):
+            return
+        started = state.started_by_request.pop(request, None)
+        if started is None:
+            return
+        held = now - started
+        state.virtual += state.need * (held - state.mean) / state.weight
+        if answered:
+            state.sample(held)
+            state.budget.succeeded()
+
+    def credit(self, kind: str) -> bool:
+        """Draw one retry of the system's own from the budget of ``kind``."""
+        state = self._state(kind)
+        return state is not None and state.budget.take()
+
+    def drop_queue(self) -> list[int]:
+        """Remove and return everything that waits."""
+        dropped = list(self._displaced)
+        self._displaced.clear()
+        for state in self._classes_by_name.values():
+            while len(state.queue):
+                dropped.append(state.queue.pop().request)
+        for request in dropped:
+            self._class_by_request.pop(request, None)
+        return dropped
+
+    def _state(self, kind: str) -> ClassState | None:
+        name = kind if kind in self._rules else ""
+        return self._classes_by_name.get(name) if name in self._rules else None
+
+    def _weigh(self) -> None:
+        states = [s for s in self._classes_by_name.values() if s.need > 0]
+        shared = sum(state.rule.share for state in states)
+        open_states = [state for state in states if state.rule.share <= 0]
+        rest = max(0.0, 1.0 - shared) / max(1, len(open_states))
+        left = self._slots
+        for state in states:
+            state.weight = max(LEAST_WEIGHT, state.rule.share or rest)
+            wanted = math.ceil(state.rule.share * self._slots - 1e-9)
+            state.guaranteed = min(left, wanted)
+            left -= state.guaranteed
+
+    def _fits(self, state: ClassState) -> bool:
+        if state.need == 0:
+            return len(state.started_by_request) < state.rule.limit
+        busy = self.busy
+        if busy and busy + state.need > self.slots:
+            return False
+        return self._may_borrow(state)
+
+    def _may_borrow(self, state: ClassState) -> bool:
+        # What goes wrong: exports of minutes borrow every slot while no ticket
+        # is there, and the next tickets wait for minutes. So only a class that
+        # gives slots back soon may borrow what is guaranteed to others.
+        if state.sampled and state.mean < LONG_SERVICE:
+            return True
+        others = sum(
+            other.guaranteed
+            for other in self._classes_by_name.values()
+            if other is not state and other.need > 0
+        )
+        own = max(state.guaranteed, self.slots - others)
+        return state.in_use == 0 or state.in_use + state.need <= own
+
+    def _start(self, now: float, state: ClassState, request: int) -> None:
+        self._class_by_request[request] = state
+        if state.need > 0:
+            self._charge(state)
+        state.started_by_request[request] = now
+
+    def _charge(self, state: ClassState) -> None:
+        # An idle class gets no credit for the time in which it had no work.
+        active = [s.virtual for s in self._classes_by_name.values() if s.active]
+        if not state.started_by_request and active:
+            state.virtual = max(state.virtual, min(active))
+        state.virtual += state.need * state.mean / state.weight
+
+    def _next_class(self) -> ClassState | None:
+        ready = [
+            state
+            for state in self._classes_by_name.values()
+            if len(state.queue) and self._fits(state)
+        ]
+        return min(ready, key=lambda state: state.virtual, default=None)
+
+    def _enqueue(
+        self,
+        now: float,
+        state: ClassState,
+        request: int,
+        attempt: int,
+        deadline: float,
+    ) -> Decision:
+        if state.need == 0:
+            return self._refuse(now, state)
+        ahead = state.queue.ahead(deadline)
+        if not self._feasible(now, state, ahead, deadline):
+            return self._refuse(now, state)
+        full = len(state.queue) >= state.rule.queue
+        if full and (not len(state.queue) or state.queue.last.deadline <= deadline):
+            return self._refuse(now, state)
+        if attempt > 1 and not state.budget.take():
+            return self._refuse(now, state, Code.RETRY_BUDGET_SPENT)
+        if full:
+            self._displace(state)
+        self._class_by_request[request] = state
+        state.queue.push(deadline, request)
+        return Decision(Verdict.QUEUED)
+
+    def _displace(self, state: ClassState) -> None:
+        last = state.queue.last.request
+        state.queue.remove(last)
+        self._displaced.append(last)
+
+    def _parallel(self, state: ClassState) -> float:
+        """Return the slots that the class can count on, as a float."""
+        others = sum(
+            other.weight
+            for other in self._classes_by_name.values()
+            if other.active and other is not state
+        )
+        return self.slots * state.weight / (state.weight + others)
+
+    def _capacity(self, state: ClassState) -> float:
+        """Return the requests a second that the class can count on."""
+        return self._parallel(state) / (max(1, state.need) * state.mean)
+
+    def _feasible(
+        self, now: float, state: ClassState, ahead: int, deadline: float
+    ) -> bool:
+        wait = (ahead + 1) / self._capacity(state)
+        return now + wait + state.mean <= deadline
+
+    def _refuse(
+        self, now: float, state: ClassState, code: Code = Code.QUEUE_FULL
+    ) -> Decision:
+        capacity = self._capacity(state)
+        drain = (len(state.queue) + 1) / capacity
+        return Decision(Verdict.REFUSED, code, state.returns.book(now, drain, capacity))
--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/requests.py
@@ -0,0 +1,583 @@
+"""Requests at one agent: admission, placement and claims together.
+
+A request holds a slot, then a claim if it is not idempotent, then it runs.
+Whatever is given up gets its final answer at once. How non-idempotent
+requests run at most once is told in docs/design/requests.md.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from .admission import Admission, Decision, Verdict
+from .claims import Claims, Settled
+from .codes import Code, Outcome, OutcomeKind
+from .effects import (
+    AgentEffect,
+    CancelRequest,
+    Count,
+    FinishRequest,
+    JoinRequest,
+    Relay,
+    Replay,
+    Run,
+)
+from .events import (
+    AgentEvent,
+    ConfigurationChanged,
+    DrainRequested,
+    PeerDatagram,
+    RequestArrived,
+    RequestCancelled,
+    RequestFinished,
+    RosterChanged,
+    Tick,
+)
+from .messages import ClaimIntent, ClaimState
+from .models import AgentState, Load, Member, Service
+from .placement import coldness
+
+__all__ = ["Requests"]
+
+KEY_LIMIT = 128
+REFUSE_WAIT = 1.0
+CLAIM_WAIT = 4.0
+PARK_AFTER = 0.3
+RELAYS_LIMIT = 2
+RETRIES_LIMIT = 1
+
+Handler = Callable[[Any, float, Any], None]
+
+_HANDLERS_BY_EVENT: dict[type, Handler] = {}
+_HANDLERS_BY_STATE: dict[ClaimState, Handler] = {}
+
+
+def _handles(event_type: type) -> Callable[[Handler], Handler]:
+    def register(handler: Handler) -> Handler:
+        _HANDLERS_BY_EVENT[event_type] = handler
+        return handler
+
+    return register
+
+
+def _settles(*states: ClaimState) -> Callable[[Handler], Handler]:
+    def register(handler: Handler) -> Handler:
+        _HANDLERS_BY_STATE.update(dict.fromkeys(states, handler))
+        return handler
+
+    return register
+
+
+class PlacementLike(Protocol):
+    """What this module needs of ``placement.Placement``."""
+
+    def choose_for_request(
+        self, now: float, slots_needed: int, local: Load, forced: bool = False
+    ) -> str | None:
+        """Return the peer that should run a request, or None for this agent."""
+
+    def handed(self, now: float, peer: str, slots: int = 1) -> None:
+        """Note that work was handed to ``peer``."""
+
+
+class Stage(enum.Enum):
+    """How far a request has come."""
+
+    NEW = "new"
+    QUEUED = "queued"
+    CLAIMING = "claiming, with a slot"
+    PARKED = "claiming, without a slot"
+    REFUSING = "refusing"
+    RUNNING = "running"
+    RELAYED = "relayed"
+    JOINED = "joined to another request"
+
+
+@dataclass(slots=True)
+class Open:
+    """A request that has no final answer yet."""
+
+    event: RequestArrived
+    deadline: float
+    stage: Stage = Stage.NEW
+    since: float = 0.0
+    refusal: Decision | None = None
+    relays: int = 0
+    retries: int = 0
+    followers: list[int] = field(default_factory=list)
+
+    @property
+    def number(self) -> int:
+        """The driver's name for the request."""
+        return self.event.request
+
+    @property
+    def claimed(self) -> bool:
+        """Whether it may run only under a claim."""
+        return bool(self.event.key) and not self.event.idempotent
+
+
+class Requests:
+    """The requests of one agent.
+
+    Parameters
+    ----------
+    name : str
+        The agent's own name.
+    service : Service
+        The service of its target.
+    rng : random.Random
+        The only source of randomness.
+    placement : PlacementLike, optional
+        Chooses a peer for a request; without it everything runs here.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: Service,
+        rng: random.Random,
+        placement: PlacementLike | None = None,
+    ) -> None:
+        self._name = name
+        self._service = service
+        self._placement = placement
+        self._member: Member | None = None
+        self._leaving = False
+        self._ready_since: float | None = None
+        self._open_by_request: dict[int, Open] = {}
+        self._leader_by_key: dict[bytes, int] = {}
+        self._effects: list[AgentEffect] = []
+        self.claims = Claims(name)
+        self.admission = Admission(1, service.classes_by_name, rng)
+
+    @property
+    def busy(self) -> int:
+        """Slots held now."""
+        return self.admission.busy
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return self.admission.queued
+
+    @property
+    def streams(self) -> int:
+        """Long-lived streams in progress."""
+        return self.admission.streams
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is in progress here."""
+        return not self._open_by_request
+
+    def handle(self, now: float, event: AgentEvent) -> list[AgentEffect]:
+        """Decide on one event; events of no concern have no effect."""
+        handler = _HANDLERS_BY_EVENT.get(type(event))
+        if handler is None:
+            return []
+        handler(self, now, event)
+        self._go_on(now)
+        effects, self._effects = self._effects, []
+        return effects
+
+    def restart(self, now: float, incarnation: int) -> list[AgentEffect]:
+        """Fence this agent: drop what waits, cancel what runs without a claim.
+
+        A claimed request that runs at the target goes on there; its record
+        says unknown until the target ends it.
+        """
+        for item in list(self._open_by_request.values()):
+            if item.stage is Stage.RUNNING and item.claimed:
+                self.claims.failed(now, item.event.key)
+            elif item.stage in (Stage.RUNNING, Stage.RELAYED):
+                self._effects.append(CancelRequest(item.number))
+            self.claims.forget(item.number)
+            self.admission.release(now, item.number, answered=False)
+        self._count("requests.fenced", len(self._open_by_request))
+        self._open_by_request.clear()
+        self._leader_by_key.clear()
+        self._ready_since = None
+        self.claims.restart(now, incarnation)
+        effects, self._effects = self._effects, []
+        return effects
+
+    @_handles(ConfigurationChanged)
+    def _configure(self, now: float, event: ConfigurationChanged) -> None:
+        service = event.configuration.services_by_name.get(self._service.name)
+        if service is None:
+            return
+        self._service = service
+        self.admission.configure(self._slots, service.classes_by_name)
+
+    @_handles(RosterChanged)
+    def _learn_roster(self, now: float, event: RosterChanged) -> None:
+        if event.roster.service != self._service.name:
+            return
+        self.claims.learn(now, event.roster)
+        member = event.roster.by_name.get(self._name)
+        if member is None:
+            return
+        self._member = member
+        self._leaving = self._leaving or member.state is AgentState.LEAVING
+        if member.state is AgentState.READY and self._ready_since is None:
+            self._ready_since = now
+        self.admission.configure(self._slots, self._service.classes_by_name)
+
+    @_handles(DrainRequested)
+    def _drain(self, now: float, event: DrainRequested) -> None:
+        self._leaving = True
+
+    @_handles(PeerDatagram)
+    def _receive(self, now: float, event: PeerDatagram) -> None:
+        self.claims.receive(now, event.sender, event.message)
+
+    @_handles(Tick)
+    def _tick(self, now: float, event: Tick) -> None:
+        if self._ready_since is not None:
+            self.admission.warm(coldness(now, self._ready_since))
+        self.claims.tick(now)
+        for item in list(self._open_by_request.values()):
+            if item.stage is Stage.CLAIMING and now - item.since > PARK_AFTER:
+                self._park(now, item)
+
+    @_handles(RequestArrived)
+    def _arrive(self, now: float, event: RequestArrived) -> None:
+        if event.request in self._open_by_request:
+            return
+        rule = self.admission.rule(event.kind)
+        if rule is None:
+            self._answer(event.request, OutcomeKind.NOT_RUN, Code.CLASS_UNKNOWN)
+            return
+        if len(event.key) > KEY_LIMIT:
+            self._answer(event.request, OutcomeKind.NOT_RUN, Code.KEY_TOO_LONG)
+            return
+        deadline = now + rule.deadline
+        if event.deadline > 0:
+            deadline = min(deadline, event.deadline)
+        item = Open(event, deadline, since=now)
+        self._open_by_request[event.request] = item
+        if item.claimed and self._follow(now, item):
+            return
+        self._place(now, item, rule.slots)
+
+    @_handles(RequestFinished)
+    def _finish(self, now: float, event: RequestFinished) -> None:
+        item = self._open_by_request.get(event.request)
+        if item is None:
+            return
+        if item.stage is Stage.JOINED:
+            self._detach(item)
+        if item.stage not in (Stage.RUNNING, Stage.RELAYED):
+            return
+        done = event.outcome.kind is OutcomeKind.DONE
+        was_relayed = item.stage is Stage.RELAYED
+        self.admission.release(now, item.number, answered=done)
+        if item.claimed:
+            self._finish_claimed(now, item, event, was_relayed)
+            return
+        if done:
+            self._close(item)
+            return
+        if self._try_again(now, item, event, was_relayed):
+            return
+        self._conclude(item, self._outcome(item, event))
+
+    @_handles(RequestCancelled)
+    def _cancel(self, now: float, event: RequestCancelled) -> None:
+        item = self._open_by_request.get(event.request)
+        if item is None:
+            return
+        if item.stage is Stage.RUNNING and item.claimed:
+            # The caller may only have lost its connection. It comes back with
+            # the same key and then needs the answer of this very run.
+            self._count("requests.orphaned")
+            return
+        if item.stage is Stage.JOINED:
+            self._detach(item)
+            return
+        if item.stage in (Stage.RUNNING, Stage.RELAYED):
+            self._effects.append(CancelRequest(item.number))
+        self.claims.forget(item.number)
+        self.admission.release(now, item.number, answered=False)
+        followers = item.followers
+        self._close(item)
+        self._promote(now, followers)
+
+    def _place(self, now: float, item: Open, slots: int) -> None:
+        if self._leaving:
+            peer = self._choose(now, item, slots, forced=True)
+            if peer is None:
+                refusal = self.admission.refuse(now, item.event.kind, Code.LEAVING)
+                self._refuse(now, item, refusal)
+                return
+            self._relay(now, item, peer)
+            return
+        peer = self._choose(now, item, slots) if slots else None
+        if peer is None:
+            self._admit(now, item)
+            return
+        self._relay(now, item, peer)
+
+    def _choose(
+        self, now: float, item: Open, slots: int, forced: bool = False
+    ) -> str | None:
+        if self._placement is None or item.event.relayed_by or item.relays:
+            return None
+        return self._placement.choose_for_request(now, slots, self._load(), forced)
+
+    def _relay(self, now: float, item: Open, peer: str) -> None:
+        item.stage = Stage.RELAYED
+        item.since = now
+        item.relays += 1
+        if self._placement is not None:
+            self._placement.handed(now, peer)
+        self._effects.append(Relay(item.number, peer))
+
+    def _admit(self, now: float, item: Open) -> None:
+        event = item.event
+        decision = self.admission.offer(
+            now, event.request, event.kind, event.attempt, item.deadline
+        )
+        if decision.verdict is Verdict.START:
+            self._begin(now, item)
+        elif decision.verdict is Verdict.QUEUED:
+            item.stage = Stage.QUEUED
+        else:
+            self._refuse(now, item, decision)
+
+    def _begin(self, now: float, item: Open) -> None:
+        item.since = now
+        if not item.claimed:
+            item.stage = Stage.RUNNING
+            self._effects.append(Run(item.number))
+            return
+        item.stage = Stage.CLAIMING
+        event = item.event
+        until = min(item.deadline, now + CLAIM_WAIT)
+        self.claims.begin(
+            now, event.request, event.key, event.attempt, ClaimIntent.RUN, until
+        )
+
+    def _park(self, now: float, item: Open) -> None:
+        # What goes wrong: a claim owner has died, and until it is marked down
+        # the requests that wait for it hold every slot. Without its slot such
+        # a request waits on, and queues again once the claim is granted.
+        self.admission.release(now, item.number, answered=False)
+        item.stage = Stage.PARKED
+        self._count("requests.parked")
+
+    def _refuse(self, now: float, item: Open, refusal: Decision) -> None:
+        self._count("requests.refused")
+        item.refusal = refusal
+        if not item.claimed:
+            outcome = Outcome(OutcomeKind.NOT_RUN, refusal.code, refusal.retry_after)
+            self._conclude(item, outcome)
+            return
+        # Without a tombstone a late copy of this request could still run
+        # after its caller was told that it hasn't.
+        item.stage = Stage.REFUSING
+        event = item.event
+        self.claims.begin(
+            now,
+            event.request,
+            event.key,
+            event.attempt,
+            ClaimIntent.REFUSE,
+            now + REFUSE_WAIT,
+            refusal.retry_after,
+        )
+
+    def _follow(self, now: float, item: Open) -> bool:
+        """Join the copy of this request that is open here already."""
+        key = item.event.key
+        leader = self._open_by_request.get(self._leader_by_key.get(key, -1))
+        if leader is not None:
+            leader.followers.append(item.number)
+            item.stage = Stage.JOINED
+            if leader.stage is Stage.RUNNING:
+                self._effects.append(JoinRequest(item.number, leader.number))
+            return True
+        self._leader_by_key[key] = item.number
+        state, runner, answer = self.claims.known(now, key)
+        if state in (ClaimState.NONE, ClaimState.REFUSED):
+            return False
+        self._settle(now, Settled(item.number, state, runner, answer))
+        return True
+
+    def _detach(self, item: Open) -> None:
+        """Take a follower from its leader."""
+        self._close(item)
+        leader = self._open_by_request.get(self._leader_by_key.get(item.event.key, -1))
+        if leader is not None and item.number in leader.followers:
+            leader.followers.remove(item.number)
+
+    def _promote(self, now: float, followers: list[int]) -> None:
+        items = [self._open_by_request.pop(number) for number in followers]
+        for item in items:
+            self._arrive(now, item.event)
+
+    def _finish_claimed(
+        self, now: float, item: Open, event: RequestFinished, was_relayed: bool
+    ) -> None:
+        key = item.event.key
+        if event.outcome.kind is OutcomeKind.DONE:
+            if not was_relayed:
+                self.claims.finished(now, key, event.answer)
+            self._close_all(item)
+            return
+        if was_relayed:
+            self._settle_relay(now, item, event)
+            return
+        if event.started:
+            self.claims.failed(now, key)
+            self._conclude(item, self._outcome(item, event))
+            return
+        self.claims.unstarted(now, key)
+        refusal = self.admission.refuse(now, item.event.kind, event.outcome.code)
+        self._refuse(now, item, refusal)
+
+    def _settle_relay(self, now: float, item: Open, event: RequestFinished) -> None:
+        # A relay that broke says nothing of what the peer did. Only the
+        # claim owner's tombstone makes "not run" certain.
+        outcome = event.outcome
+        refusal = Decision(Verdict.REFUSED, outcome.code, outcome.retry_after)
+        if outcome.retry_after <= 0:
+            refusal = self.admission.refuse(now, item.event.kind, outcome.code)
+        self._refuse(now, item, refusal)
+
+    def _try_again(
+        self, now: float, item: Open, event: RequestFinished, was_relayed: bool
+    ) -> bool:
+        if event.outcome.kind not in (OutcomeKind.NOT_RUN, OutcomeKind.UNKNOWN):
+            return False
+        if event.started and not item.event.idempotent:
+            return False
+        if item.retries >= RETRIES_LIMIT or now >= item.deadline:
+            return False
+        if not self.admission.credit(item.event.kind):
+            return False
+        item.retries += 1
+        self._count("requests.retried")
+        peer = None
+        rule = self.admission.rule(item.event.kind)
+        if rule is not None and not was_relayed:
+            peer = self._choose(now, item, rule.slots, forced=True)
+        if peer is not None:
+            self._relay(now, item, peer)
+            return True
+        self._admit(now, item)
+        return True
+
+    def _outcome(self, item: Open, event: RequestFinished) -> Outcome:
+        """Return what the caller may be told of a request that failed."""
+        outcome = event.outcome
+        if event.started and outcome.kind is OutcomeKind.NOT_RUN:
+            return Outcome(OutcomeKind.UNKNOWN, outcome.code)
+        return outcome
+
+    def _settle(self, now: float, settled: Settled) -> None:
+        item = self._open_by_request.get(settled.request)
+        if item is None:
+            return
+        handler = _HANDLERS_BY_STATE.get(settled.state)
+        if handler is not None:
+            handler(self, now, (item, settled))
+
+    @_settles(ClaimState.GRANTED)
+    def _granted(self, now: float, answer: tuple[Open, Settled]) -> None:
+        item, _ = answer
+        if item.stage is Stage.PARKED:
+            item.stage = Stage.QUEUED
+            self.claims.unstarted(now, item.event.key)
+            kind = item.event.kind
+            self.admission.requeue(now, item.number, kind, item.deadline)
+            return
+        item.stage = Stage.RUNNING
+        self._effects.append(Run(item.number))
+        self._effects += [JoinRequest(number, item.number) for number in item.followers]
+
+    @_settles(ClaimState.RUNNING, ClaimState.FINISHED)
+    def _elsewhere(self, now: float, answer: tuple[Open, Settled]) -> None:
+        item, settled = answer
+        self.admission.release(now, item.number, answered=False)
+        if settled.answer:
+            self._count("requests.replayed")
+            for number in (item.number, *item.followers):
+                self._effects.append(Replay(number, settled.answer))
+            self._close_all(item)
+            return
+        if settled.runner == self._name or item.relays >= RELAYS_LIMIT:
+            self._conclude(item, Outcome(OutcomeKind.UNKNOWN, Code.ANSWER_LOST))
+            return
+        followers, item.followers = item.followers, []
+        for number in (item.number, *followers):
+            self._relay(now, self._open_by_request[number], settled.runner)
+
+    @_settles(ClaimState.REFUSED)
+    def _refused(self, now: float, answer: tuple[Open, Settled]) -> None:
+        item, settled = answer
+        self.admission.release(now, item.number, answered=False)
+        refusal = item.refusal
+        code = refusal.code if refusal else Code.NOT_RUN
+        retry_after = refusal.retry_after if refusal else settled.retry_after
+        self._conclude(item, Outcome(OutcomeKind.NOT_RUN, code, retry_after))
+
+    @_settles(ClaimState.UNKNOWN)
+    def _unknown(self, now: float, answer: tuple[Open, Settled]) -> None:
+        item, settled = answer
+        self.admission.release(now, item.number, answered=False)
+        self._count("requests.unknown")
+        self._conclude(item, Outcome(OutcomeKind.UNKNOWN, settled.code))
+
+    def _go_on(self, now: float) -> None:
+        """Carry every consequence of an event through."""
+        while self._advance(now):
+            continue
+
+    def _advance(self, now: float) -> bool:
+        effects, settled = self.claims.take()
+        self._effects += effects
+        for answer in settled:
+            self._settle(now, answer)
+        given_up = self.admission.hopeless(now)
+        for number, refusal in given_up:
+            self._refuse(now, self._open_by_request[number], refusal)
+        started = self.admission.start(now)
+        for number in started:
+            self._begin(now, self._open_by_request[number])
+        return bool(effects or settled or given_up or started)
+
+    def _conclude(self, item: Open, outcome: Outcome) -> None:
+        """Give a request and its followers their final answer."""
+        for number in (item.number, *item.followers):
+            self._effects.append(FinishRequest(number, outcome))
+        self._close_all(item)
+
+    def _answer(self, request: int, kind: OutcomeKind, code: Code) -> None:
+        self._effects.append(FinishRequest(request, Outcome(kind, code)))
+
+    def _close_all(self, item: Open) -> None:
+        for number in item.followers:
+            self._open_by_request.pop(number, None)
+        self._close(item)
+
+    def _close(self, item: Open) -> None:
+        self._open_by_request.pop(item.number, None)
+        if self._leader_by_key.get(item.event.key) == item.number:
+            del self._leader_by_key[item.event.key]
+
+    def _count(self, name: str, amount: int = 1) -> None:
+        if amount:
+            self._effects.append(Count(name, amount))
+
+    @property
+    def _slots(self) -> int:
+        return self._member.slots if self._member else 1
+
+    def _load(self) -> Load:
+        return Load(self.admission.slots, self.busy, self.queued, 0, self.streams)
