Own flows at an agent: home, pointers, asks and overlap windows

Cause: a plain UDP flow carries no connection id, so after a change of roster its packets reach another agent than its owner. Change: the home opens a flow, owners tell a moved home in confirmed batches, unknown packets are held while the owner is asked for. No measurement.

--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/flows.py
@@ -0,0 +1,381 @@
+"""Which agent owns a flow: openings, handing over, and changes of home.
+
+A QUIC flow is owned by the agent that its connection id names, so only its
+opening is decided here. A plain UDP flow has nothing but the caller's
+address: its home, the best ranked ready agent, opens it, and everyone else
+finds the owner by asking. docs/design/flows.md tells the ways weighed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .asks import Asks, Held
+from .codes import Code
+from .effects import (
+    AcceptFlow,
+    AgentEffect,
+    Count,
+    Deliver,
+    Drop,
+    EndFlow,
+    ForwardDatagram,
+    HandOver,
+    SendPeer,
+)
+from .events import FlowDatagram, FlowOpening
+from .homes import Homes
+from .messages import FlowAnswer, FlowAsk, FlowPointers, PeerMessage
+from .models import Load, Roster, Service
+from .owners import OwnedFlows
+from .placement import Placement
+from .pointers import Pointer, Pointers, confirmation
+from .routing import flow_key
+
+__all__ = ["Flows"]
+
+HOP_LIMIT = 4
+FLOWS_LIMIT = 16384
+IDLE = 120.0
+HANDSHAKE_TIME = 10.0
+HANDED_TIME = 3.0
+REDIRECT_TIME = 2.0
+YOUNG = 15.0
+ASK_WIDTH = 8
+EXPIRED_PER_TICK = 1000
+
+Effects = list[AgentEffect]
+
+
+class Flows:
+    """The flows of one agent.
+
+    Parameters
+    ----------
+    name : str
+        This agent's own name.
+    placement : Placement
+        Decides who takes a new flow.
+    load : callable
+        Returns this agent's own counts at a time.
+    """
+
+    def __init__(
+        self, name: str, placement: Placement, load: Callable[[float], Load]
+    ) -> None:
+        self.name = name
+        self.homes = Homes(name)
+        self.leaving = False
+        self._placement = placement
+        self._load = load
+        self._idle = IDLE
+        self._incarnation = 0
+        self._service: Service | None = None
+        self._roster: Roster | None = None
+        self._owned = OwnedFlows(self.homes)
+        self._accepted: set[bytes] = set()
+        self._pointers = Pointers()
+        self._handshakes = Pointers()
+        self._asks = Asks()
+
+    @property
+    def count(self) -> int:
+        """The number of flows owned here, of both protocols."""
+        return len(self._owned) + len(self._accepted)
+
+    @property
+    def takes_new(self) -> bool:
+        """Whether this agent may open flows."""
+        return self.homes.is_ready and not self.leaving
+
+    def owns(self, flow: bytes) -> bool:
+        """Tell whether ``flow`` is owned here."""
+        return flow in self._owned or flow in self._accepted
+
+    def configure(self, now: float, service: Service) -> None:
+        """Take the rules of the service in force."""
+        self._service = service
+        self._idle = service.idle
+        if self._roster is not None:
+            self.homes.update(now, self._roster, service)
+
+    def roster(self, now: float, roster: Roster) -> None:
+        """Take a roster; one that is older than the last is ignored."""
+        if self._roster is not None and roster.revision < self._roster.revision:
+            return
+        self._roster = roster
+        own = roster.by_name.get(self.name)
+        if own is not None:
+            self._incarnation = own.incarnation
+        self.homes.update(now, roster, self._service)
+
+    def leave(self) -> None:
+        """Open no flows from now on; those that are owned go on."""
+        self.leaving = True
+
+    def clear(self) -> None:
+        """Forget everything, after a fence: others may own the flows now."""
+        self._owned.clear()
+        self._accepted.clear()
+        self._pointers.clear()
+        self._handshakes.clear()
+        self._asks.clear()
+        self.leaving = False
+
+    def opening(self, now: float, event: FlowOpening) -> Effects:
+        """Decide on a QUIC opening: take it, or hand it to a peer."""
+        flow = event.flow
+        if event.handed_by or flow in self._accepted:
+            return self._accept_quic(flow)
+        known = self._handshakes.get(flow)
+        if known is not None and self._is_valid(now, known):
+            return [HandOver(flow, known.owner)]
+        peer = self._choose(now)
+        if peer is not None:
+            self._handshakes.put(flow, self._pointer_to(now, peer, HANDSHAKE_TIME))
+            self._placement.handed(now, peer, slots=0, flows=1)
+            return [HandOver(flow, peer), Count("flows.handed")]
+        refusal = self._refusal()
+        return [Drop(refusal)] if refusal else self._accept_quic(flow)
+
+    def datagram(self, now: float, event: FlowDatagram) -> Effects:
+        """Decide on a datagram of a plain UDP flow."""
+        flow = flow_key(event.caller)
+        owned = self._owned.get(flow)
+        if owned is not None:
+            owned.seen = now
+            return [Deliver(flow, event.caller, event.entry, event.payload)]
+        if event.handed_by:
+            return self._take(now, flow, event)
+        pointer = self._pointers.get(flow)
+        if pointer is not None and self._is_valid(now, pointer):
+            return self._forward(now, flow, [event], pointer)
+        if flow in self._asks:
+            return self._hold(flow, event)
+        # A home that has just got the flow from another agent asks first:
+        # the packet may belong to an established flow of the former home.
+        homes = self.homes
+        if homes.is_home(flow) and not homes.was_elsewhere(now, flow):
+            return self._open(now, flow, [event])
+        return self._ask(now, flow, event)
+
+    def answered(self, now: float, flow: bytes) -> None:
+        """Note that the target sent to the caller: the flow is not idle."""
+        owned = self._owned.get(flow)
+        if owned is not None:
+            owned.seen = now
+
+    def closed(self, flow: bytes) -> None:
+        """Forget a flow that the driver has ended."""
+        self._accepted.discard(flow)
+        self._owned.forget(flow)
+
+    def peer(self, now: float, sender: str, message: PeerMessage) -> Effects:
+        """Handle a message about flows; others are ignored."""
+        if isinstance(message, FlowAsk):
+            return self._answer(sender, message)
+        if isinstance(message, FlowAnswer):
+            return self._learn_answer(now, sender, message)
+        if isinstance(message, FlowPointers):
+            return self._learn_pointers(now, sender, message)
+        return []
+
+    def tick(self, now: float) -> Effects:
+        """Repeat, time out and age; call it at least ten times a second."""
+        effects: Effects = []
+        for held in self._asks.overdue(now):
+            effects.append(Count("flows.ask_timeout"))
+            effects += self._decide(now, held)
+        effects += self._asks.repeats(now)
+        effects += [EndFlow(flow) for flow in self._owned.sweep(now, self._idle)]
+        effects += self._owned.messages(now, self._incarnation)
+        self._pointers.expire(now, EXPIRED_PER_TICK)
+        self._handshakes.expire(now, EXPIRED_PER_TICK)
+        return effects
+
+    # Opening
+
+    def _choose(self, now: float) -> str | None:
+        forced = not self.takes_new or self.count >= FLOWS_LIMIT
+        peer = self._placement.choose_for_flow(now, self._load(now), forced)
+        # A peer that the roster here doesn't know can't be sent to.
+        known = peer is not None and self.homes.incarnation(peer) is not None
+        return peer if known else None
+
+    def _refusal(self) -> Code | None:
+        """Return why a new flow can't be owned here, or None if it can."""
+        if self.leaving:
+            return Code.LEAVING
+        if not self.homes.is_ready:
+            return Code.NO_AGENT
+        return Code.FLOW_LIMIT if self.count >= FLOWS_LIMIT else None
+
+    def _open(self, now: float, flow: bytes, packets: list[FlowDatagram]) -> Effects:
+        peer = self._choose(now)
+        if peer is not None:
+            return self._hand(now, flow, packets, peer)
+        refusal = self._refusal()
+        if refusal is not None:
+            return [Drop(refusal) for _ in packets]
+        return self._accept(now, flow, packets)
+
+    def _hand(
+        self, now: float, flow: bytes, packets: list[FlowDatagram], peer: str
+    ) -> Effects:
+        pointer = self._pointer_to(now, peer, self._idle)
+        pointer = pointer._replace(handed_until=now + HANDED_TIME)
+        self._pointers.put(flow, pointer)
+        self._placement.handed(now, peer, slots=0, flows=1)
+        forwards = self._forward(now, flow, packets, pointer)
+        return [Count("flows.handed"), *forwards]
+
+    def _take(self, now: float, flow: bytes, event: FlowDatagram) -> Effects:
+        packets = [event, *self._asks.release(flow)]
+        if self.leaving and event.hops < HOP_LIMIT:
+            # The peer handed it over before it knew that this agent leaves.
+            peer = self._choose(now)
+            if peer is not None:
+                return self._hand(now, flow, packets, peer)
+        return self._accept(now, flow, packets, event.handed_by)
+
+    def _accept(
+        self, now: float, flow: bytes, packets: list[FlowDatagram], handed_by: str = ""
+    ) -> Effects:
+        self._pointers.drop(flow)
+        self._owned.add(now, flow, known_by=handed_by)
+        delivers = [
+            Deliver(flow, packet.caller, packet.entry, packet.payload)
+            for packet in packets
+        ]
+        return [AcceptFlow(flow), Count("flows.opened"), *delivers]
+
+    def _accept_quic(self, flow: bytes) -> Effects:
+        if flow in self._accepted:
+            return [AcceptFlow(flow)]
+        self._accepted.add(flow)
+        return [AcceptFlow(flow), Count("flows.opened")]
+
+    # Pointers
+
+    def _pointer_to(self, now: float, peer: str, age: float) -> Pointer:
+        return Pointer(peer, self.homes.incarnation(peer) or 0, now + age)
+
+    def _is_valid(self, now: float, pointer: Pointer) -> bool:
+        if pointer.until <= now:
+            return False
+        return self.homes.is_live(pointer.owner, pointer.incarnation)
+
+    def _forward(
+        self, now: float, flow: bytes, packets: list[FlowDatagram], pointer: Pointer
+    ) -> Effects:
+        handed = now < pointer.handed_until
+        effects: Effects = []
+        for packet in packets:
+            if packet.hops >= HOP_LIMIT:
+                # Two agents that each take the other for the owner would pass
+                # the packet on for ever; the next packet asks afresh.
+                self._pointers.drop(flow)
+                effects.append(Drop(Code.HOP_LIMIT))
+                continue
+            effects.append(
+                ForwardDatagram(
+                    pointer.owner,
+                    packet.caller,
+                    packet.entry,
+                    packet.payload,
+                    packet.hops + 1,
+                    handed,
+                )
+            )
+        return effects
+
+    def _learn_pointers(
+        self, now: float, sender: str, message: FlowPointers
+    ) -> Effects:
+        incarnation = self.homes.incarnation(message.owner)
+        if incarnation is None or message.incarnation < incarnation:
+            return []
+        pointer = Pointer(message.owner, message.incarnation, now + self._idle)
+        effects: Effects = [SendPeer(sender, confirmation(message))]
+        for flow in message.flows:
+            effects += self._learn_pointer(now, flow, pointer)
+        return effects
+
+    def _learn_pointer(self, now: float, flow: bytes, pointer: Pointer) -> Effects:
+        owned = self._owned.get(flow)
+        if owned is None:
+            self._pointers.put(flow, pointer)
+            return self._forward(now, flow, self._asks.release(flow), pointer)
+        # Two agents opened one flow, since asks got lost or an agent was
+        # silent for a while. The older one has the caller's history.
+        home = self.homes.home(flow)
+        if now - owned.opened < YOUNG or (home and home.name == pointer.owner):
+            self._owned.forget(flow)
+            self._pointers.put(flow, pointer)
+            return [EndFlow(flow), Count("flows.yielded")]
+        if home and home.name == self.name:
+            claim = FlowPointers(self.name, self._incarnation, (flow,))
+            return [SendPeer(pointer.owner, claim)]
+        return []
+
+    # Asking
+
+    def _ask(self, now: float, flow: bytes, event: FlowDatagram) -> Effects:
+        asked = self.homes.others(flow, ASK_WIDTH)
+        held = self._asks.start(now, flow, asked)
+        if held is None:
+            return [Drop(Code.FLOW_LIMIT)]
+        effects = self._hold(flow, event)
+        if not asked:
+            return effects + self._decide(now, held)
+        return [*effects, *held.messages(), Count("flows.asked")]
+
+    def _hold(self, flow: bytes, event: FlowDatagram) -> Effects:
+        return [] if self._asks.hold(flow, event) else [Drop(Code.FLOW_LIMIT)]
+
+    def _answer(self, sender: str, ask: FlowAsk) -> Effects:
+        flow = ask.flow
+        owner = ""
+        if flow in self._owned:
+            owner = self.name
+        elif pointer := self._pointers.get(flow):
+            if self.homes.is_live(pointer.owner, pointer.incarnation):
+                owner = pointer.owner
+        elif flow in self._asks and self.homes.is_home(flow):
+            # Not decided yet; "none" could make the sender open it as well.
+            return []
+        return [SendPeer(sender, FlowAnswer(ask.number, flow, owner))]
+
+    def _learn_answer(self, now: float, sender: str, answer: FlowAnswer) -> Effects:
+        flow = answer.flow
+        if not flow:
+            self._owned.confirmed(sender, answer)
+            return []
+        held = self._asks.match(flow, answer.number)
+        if held is None:
+            return []
+        if answer.owner == self.name:
+            return self._accept(now, flow, self._asks.release(flow), sender)
+        if self.homes.incarnation(answer.owner) is not None:
+            pointer = self._pointer_to(now, answer.owner, self._idle)
+            self._pointers.put(flow, pointer)
+            return self._forward(now, flow, self._asks.release(flow), pointer)
+        held.denied.add(sender)
+        return self._decide(now, held) if self._is_settled(held) else []
+
+    def _is_settled(self, held: Held) -> bool:
+        home = self.homes.home(held.flow)
+        if home is not None and home.name in held.denied:
+            return True
+        return held.denied.issuperset(held.asked)
+
+    def _decide(self, now: float, held: Held) -> Effects:
+        """Nobody named an owner: open the flow here, or leave it to its home."""
+        flow = held.flow
+        packets = self._asks.release(flow)
+        home = self.homes.home(flow)
+        if home is None or home.name not in held.denied:
+            return self._open(now, flow, packets)
+        pointer = self._pointer_to(now, home.name, REDIRECT_TIME)
+        self._pointers.put(flow, pointer)
+        return self._forward(now, flow, packets, pointer)
--- a/packages/zinniahook-core/src/zinniahook_core/placement.py
+++ b/packages/zinniahook-core/src/zinniahook_core/placement.py
@@ -33,6 +33,7 @@
 CLAIM_SHARE = 0.5
 SUCCESS_AGE = 2.0
 LEAST_SLOTS = 0.1
+NO_LOAD = Load(1, 0, 0, 0, 0)
 
 
 def coldness(now: float, started: float) -> float:
@@ -105,7 +106,7 @@
     incarnation: int = 0
     sequence: int = -1
     reported_at: float = -math.inf
-    load: Load = Load(1, 0, 0, 0, 0)
+    load: Load = NO_LOAD
     handed: list[Handed] = field(default_factory=list)
 
 
--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/pointers.py
@@ -0,0 +1,166 @@
+"""Pointers from the home of a flow to its owner, and how a home learns them.
+
+What goes wrong: an agent joins or leaves, the home of an established flow
+moves, and the new home would open the flow a second time at another target.
+One notices a stream that starts anew. So each owner tells the new home, in
+batches that are repeated until confirmed.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from xxhash import xxh32_intdigest
+
+from .effects import SendPeer
+from .homes import Home
+from .messages import FlowAnswer, FlowPointers
+
+__all__ = ["Pointer", "PointerSender", "Pointers", "confirmation"]
+
+POINTERS_LIMIT = 65536
+BATCH_BYTES = 1000
+FLOW_OVERHEAD = 2
+BATCHES_PER_ROUND = 4
+ROUND = 0.5
+
+
+class Pointer(NamedTuple):
+    """Who owns a flow; void after ``until``.
+
+    Until ``handed_until`` the opening itself may have been lost on its way,
+    so that forwarded datagrams are marked as handed over again.
+    """
+
+    owner: str
+    incarnation: int
+    until: float
+    handed_until: float = 0.0
+
+
+class Pointers:
+    """A bounded table of pointers; the one renewed longest ago goes first."""
+
+    def __init__(self, limit: int = POINTERS_LIMIT) -> None:
+        self._limit = limit
+        self._by_flow: OrderedDict[bytes, Pointer] = OrderedDict()
+        self.evicted = 0
+
+    def __len__(self) -> int:
+        return len(self._by_flow)
+
+    def get(self, flow: bytes) -> Pointer | None:
+        """Return the pointer of ``flow``, if there is one."""
+        return self._by_flow.get(flow)
+
+    def put(self, flow: bytes, pointer: Pointer) -> None:
+        """Set or renew the pointer of ``flow``."""
+        self._by_flow[flow] = pointer
+        self._by_flow.move_to_end(flow)
+        if len(self._by_flow) > self._limit:
+            self._by_flow.popitem(last=False)
+            self.evicted += 1
+
+    def drop(self, flow: bytes) -> None:
+        """Forget the pointer of ``flow``, if there is one."""
+        self._by_flow.pop(flow, None)
+
+    def expire(self, now: float, most: int) -> None:
+        """Drop up to ``most`` pointers that ran out, oldest first."""
+        for _ in range(min(most, len(self._by_flow))):
+            flow, pointer = next(iter(self._by_flow.items()))
+            if pointer.until > now:
+                return
+            del self._by_flow[flow]
+
+    def clear(self) -> None:
+        """Forget every pointer."""
+        self._by_flow.clear()
+
+
+def confirmation(message: FlowPointers) -> FlowAnswer:
+    """Return what confirms ``message``: an answer that names no flow."""
+    return FlowAnswer(_digest(message.flows), b"", message.owner)
+
+
+def _digest(flows: tuple[bytes, ...]) -> int:
+    return xxh32_intdigest(b"".join(flows))
+
+
+@dataclass(slots=True)
+class Untold:
+    """The flows that one home has not confirmed yet."""
+
+    flows: dict[bytes, None] = field(default_factory=dict)
+    batches_by_digest: dict[int, tuple[bytes, ...]] = field(default_factory=dict)
+
+
+class PointerSender:
+    """Tells homes of flows until they confirm.
+
+    Parameters
+    ----------
+    owner : str
+        The name of this agent, which owns the flows.
+    """
+
+    def __init__(self, owner: str) -> None:
+        self._owner = owner
+        self._untold_by_home: dict[Home, Untold] = {}
+        self._next_round = 0.0
+
+    def tell(self, home: Home, flow: bytes) -> None:
+        """Queue ``flow`` for ``home``."""
+        self._untold_by_home.setdefault(home, Untold()).flows[flow] = None
+
+    def forget(self, home: Home, flow: bytes) -> None:
+        """Take ``flow`` back: it ended, or its home has moved on."""
+        untold = self._untold_by_home.get(home)
+        if untold is None:
+            return
+        untold.flows.pop(flow, None)
+        if not untold.flows:
+            del self._untold_by_home[home]
+
+    def confirmed(self, sender: str, message: FlowAnswer) -> None:
+        """Take a home's confirmation."""
+        for home, untold in list(self._untold_by_home.items()):
+            if home.name != sender:
+                continue
+            for flow in untold.batches_by_digest.pop(message.number, ()):
+                untold.flows.pop(flow, None)
+            if not untold.flows:
+                del self._untold_by_home[home]
+
+    def send(self, now: float, incarnation: int) -> list[SendPeer]:
+        """Return the batches that are due; call it on every tick."""
+        if now < self._next_round or not self._untold_by_home:
+            return []
+        self._next_round = now + ROUND
+        effects: list[SendPeer] = []
+        for home, untold in self._untold_by_home.items():
+            untold.batches_by_digest = {}
+            for flows in _batches(untold.flows)[:BATCHES_PER_ROUND]:
+                untold.batches_by_digest[_digest(flows)] = flows
+                message = FlowPointers(self._owner, incarnation, flows)
+                effects.append(SendPeer(home.name, message))
+        return effects
+
+    def clear(self) -> None:
+        """Forget everything that is queued."""
+        self._untold_by_home.clear()
+
+
+def _batches(flows: dict[bytes, None]) -> list[tuple[bytes, ...]]:
+    batches: list[list[bytes]] = []
+    room = 0
+    for flow in flows:
+        size = len(flow) + FLOW_OVERHEAD
+        if size > room:
+            batches.append([])
+            room = BATCH_BYTES
+        batches[-1].append(flow)
+        room -= size
+    return [tuple(batch) for batch in batches]
