wire: rosters and configuration generations as stored values

Cause: the store refuses values above a megabyte and each call counts, so 5,800 services can't be one value, nor may a change rewrite them all. Heartbeats carry the roster revision.

--- a/packages/zinniahook-wire/src/zinniahook_wire/peers.py
+++ b/packages/zinniahook-wire/src/zinniahook_wire/peers.py
@@ -105,6 +105,7 @@
         generation=message.generation,
         load=peers_pb2.Load(**message.load._asdict()),
         leaving=message.leaving,
+        revision=message.revision,
     )
 
 
@@ -117,6 +118,7 @@
         message.generation,
         Load(load.slots, load.busy, load.queued, load.flows, load.streams, load.cold),
         message.leaving,
+        message.revision,
     )
 
 
--- /dev/null
+++ b/packages/zinniahook-wire/src/zinniahook_wire/rosters.py
@@ -0,0 +1,178 @@
+"""Rosters of services and lists of daemons, as the store keeps them."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple, TypedDict
+
+from zinniahook_core.codes import Code
+from zinniahook_core.models import Address, AgentState, Member, Roster
+
+from .values import DIGEST_SIZE, OPERATIONS_KEPT, WRONG_VALUE, dump, invalid, load
+
+__all__ = [
+    "DAEMONS_PREFIX",
+    "ROSTER_PREFIX",
+    "Daemon",
+    "daemons_from_json",
+    "daemons_key",
+    "daemons_to_json",
+    "revisions_digest",
+    "roster_from_json",
+    "roster_key",
+    "roster_to_json",
+]
+
+ROSTER_PREFIX = "/zinniahook/roster/"
+DAEMONS_PREFIX = "/zinniahook/daemons/"
+
+
+class MemberValue(TypedDict):
+    """One member of a roster, as stored."""
+
+    tunnel: str
+    control: str
+    target: str
+    data_centre: str
+    incarnation: int
+    state: int
+    slots: int
+
+
+class RosterValue(TypedDict):
+    """The roster of one service, as stored."""
+
+    members: dict[str, MemberValue]
+    operations: list[str]
+
+
+class Daemon(NamedTuple):
+    """A daemon as it announces itself to operators and other daemons."""
+
+    name: str
+    role: str
+    control: Address
+    incarnation: int
+
+
+def roster_key(service: str) -> str:
+    """Return the store's key of the roster of a service."""
+    return ROSTER_PREFIX + service
+
+
+def daemons_key(data_centre: str) -> str:
+    """Return the store's key of the daemons of a data centre."""
+    return DAEMONS_PREFIX + data_centre
+
+
+def roster_to_json(roster: Roster, operations: Iterable[str] = ()) -> bytes:
+    """Encode a roster; ``operations`` are the ids of its writes, oldest first.
+
+    Raises
+    ------
+    DocumentError
+        ROSTER_TOO_LARGE, if the store would refuse it.
+    """
+    value: RosterValue = {
+        "members": {
+            name: _member_value(member) for name, member in roster.by_name.items()
+        },
+        "operations": list(operations)[-OPERATIONS_KEPT:],
+    }
+    return dump(value, f"roster of {roster.service}", Code.ROSTER_TOO_LARGE)
+
+
+def roster_from_json(service: str, revision: int, data: bytes) -> Roster:
+    """Decode a roster that was stored at ``revision``.
+
+    Raises
+    ------
+    DocumentError
+        CONFIGURATION_INVALID, if it isn't a roster.
+    """
+    what = f"roster of {service}"
+    value = load(data, what)
+    try:
+        members = {name: _member(name, item) for name, item in value["members"].items()}
+    except WRONG_VALUE as error:
+        raise invalid(what, error) from None
+    return Roster(service, revision, members)
+
+
+def daemons_to_json(daemons: Iterable[Daemon], operations: Iterable[str]) -> bytes:
+    """Encode the daemons of a data centre.
+
+    Raises
+    ------
+    DocumentError
+        ROSTER_TOO_LARGE, if the store would refuse it.
+    """
+    value = {
+        "daemons": {
+            daemon.name: {
+                "role": daemon.role,
+                "control": str(daemon.control),
+                "incarnation": daemon.incarnation,
+            }
+            for daemon in daemons
+        },
+        "operations": list(operations)[-OPERATIONS_KEPT:],
+    }
+    return dump(value, "list of daemons", Code.ROSTER_TOO_LARGE)
+
+
+def daemons_from_json(data: bytes) -> dict[str, Daemon]:
+    """Decode the daemons of a data centre, by name.
+
+    Raises
+    ------
+    DocumentError
+        CONFIGURATION_INVALID, if it isn't such a list.
+    """
+    value = load(data, "list of daemons")
+    try:
+        return {
+            name: Daemon(
+                name,
+                str(item["role"]),
+                Address.parse(item["control"]),
+                int(item["incarnation"]),
+            )
+            for name, item in value["daemons"].items()
+        }
+    except WRONG_VALUE as error:
+        raise invalid("list of daemons", error) from None
+
+
+def revisions_digest(revisions_by_service: Mapping[str, int]) -> bytes:
+    """Return a digest of roster revisions, for finding what got lost."""
+    digest = hashlib.blake2b(digest_size=DIGEST_SIZE)
+    for service, revision in sorted(revisions_by_service.items()):
+        digest.update(f"{service}\0{revision}\0".encode())
+    return digest.digest()
+
+
+def _member_value(member: Member) -> MemberValue:
+    return {
+        "tunnel": str(member.tunnel),
+        "control": str(member.control),
+        "target": str(member.target),
+        "data_centre": member.data_centre,
+        "incarnation": member.incarnation,
+        "state": int(member.state),
+        "slots": member.slots,
+    }
+
+
+def _member(name: str, value: MemberValue) -> Member:
+    return Member(
+        name,
+        Address.parse(value["tunnel"]),
+        Address.parse(value["control"]),
+        Address.parse(value["target"]),
+        str(value["data_centre"]),
+        int(value["incarnation"]),
+        AgentState(value["state"]),
+        int(value["slots"]),
+    )
