core: membership by compare-and-swap, heartbeats, fences and drains

Cause: agents announced themselves once and trusted that nothing fails. Change: Membership plans each roster write afresh from the newest roster, Liveness judges peers by heartbeats, RosterWriter paces writes; AgentCore composes them with flows, placement and requests, and begins nothing new while fenced. Heartbeat gains the sender's roster revision and TargetReported whether the port accepts; both have defaults.

--- a/packages/zinniahook-core/src/zinniahook_core/agents.py
+++ b/packages/zinniahook-core/src/zinniahook_core/agents.py
@@ -6,20 +6,45 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from .effects import AcceptFlow, AgentEffect, Deliver, Run, WriteRoster
+from .codes import Code, Outcome, OutcomeKind
+from .effects import (
+    AgentEffect,
+    Count,
+    Drop,
+    FinishRequest,
+    ForwardDatagram,
+    HandOver,
+    Restart,
+    Run,
+)
 from .events import (
     AgentEvent,
+    ConfigurationChanged,
+    DrainRequested,
+    FlowClosed,
     FlowDatagram,
     FlowOpening,
+    PeerDatagram,
     RequestArrived,
+    RequestCancelled,
+    RequestFinished,
     RosterChanged,
     RosterWritten,
+    TargetReported,
     Tick,
 )
-from .models import Load, Member, Roster
+from .flows import HOP_LIMIT, Flows
+from .membership import Membership
+from .messages import Heartbeat
+from .models import Address, AgentState, Configuration, Load, Member, Roster, Service
+from .placement import Placement, coldness
+from .requests import Requests
 
 __all__ = ["AgentCore"]
 
+RETRY_FENCED = 1.0
+"""Seconds after which a fenced agent tells callers to come back."""
+
 Handler = Callable[[Any, float, Any], Iterable[AgentEffect]]
 
 _HANDLERS_BY_EVENT: dict[type, Handler] = {}
@@ -38,61 +63,199 @@
 
     Parameters
     ----------
-    identity
-        What the agent announces about itself; ``incarnation`` and ``state``
-        are set by the core.
-    service
+    identity : Member
+        What the agent announces about itself. ``incarnation`` has to grow
+        from one start of the process to the next; ``state`` is set here.
+    service : str
         The service that the target serves.
-    rng
+    rng : random.Random
         The only source of randomness.
     """
 
     def __init__(self, identity: Member, service: str, rng: random.Random) -> None:
-        self.identity = identity
         self.service = service
-        self.rng = rng
-        self.roster = Roster(service, 0, {})
-        self._announced = False
+        self.configuration: Configuration | None = None
+        self.membership = Membership(identity, service, rng, self._reported_load)
+        self.placement = Placement(identity.name, rng)
+        self.flows = Flows(identity.name, self.placement, self.load)
+        unknown = Service(service, 0, Address("0.0.0.0", 0))
+        self.requests = Requests(identity.name, unknown, rng, self.placement)
+        self._known = self.membership.roster
+        self._ready_since: float | None = None
+        self._running: set[int] = set()
+
+    @property
+    def identity(self) -> Member:
+        """The agent as it announces itself now."""
+        return self.membership.identity
+
+    @property
+    def state(self) -> AgentState:
+        """What this agent says of itself."""
+        return self.membership.state
+
+    @property
+    def roster(self) -> Roster:
+        """The newest roster learned."""
+        return self.membership.roster
+
+    @property
+    def generation(self) -> int:
+        """The generation in force here; 0 before the first."""
+        return self.configuration.generation if self.configuration else 0
 
     def handle(self, now: float, event: AgentEvent) -> list[AgentEffect]:
-        """Decide on one event; the driver executes the effects in order."""
+        """Decide on one event; the driver executes the effects in order.
+
+        Raises
+        ------
+        TypeError
+            If ``event`` is not an event of an agent.
+        """
         handler = _HANDLERS_BY_EVENT.get(type(event))
-        return list(handler(self, now, event)) if handler else []
+        if handler is None:
+            raise TypeError(f"not an event of an agent: {event!r}")
+        effects = self._follow(now, self.membership.wake(now))
+        effects += handler(self, now, event)
+        self._note_running(effects)
+        return effects
 
     def load(self, now: float) -> Load:
         """Count what is in progress at this agent."""
-        return Load(self.identity.slots, 0, 0, 0, 0)
+        requests = self.requests
+        cold = 1.0 if self._ready_since is None else coldness(now, self._ready_since)
+        return Load(
+            self.identity.slots,
+            requests.busy,
+            requests.queued,
+            self.flows.count,
+            requests.streams,
+            cold,
+        )
+
+    def _reported_load(self, now: float) -> Load:
+        return self.placement.reported(now, self.load(now))
+
+    def _follow(self, now: float, effects: list[AgentEffect]) -> list[AgentEffect]:
+        """Carry what membership decided into the other parts."""
+        followed: list[AgentEffect] = []
+        for effect in effects:
+            followed.append(effect)
+            if isinstance(effect, Restart):
+                self.flows.clear()
+                self._running.clear()
+                followed += self.requests.restart(now, effect.incarnation)
+        if self._known is not self.membership.roster:
+            self._known = self.membership.roster
+            self.flows.roster(now, self._known)
+            self.placement.roster(now, self._known)
+            followed += self.requests.handle(now, RosterChanged(self._known))
+        if self._ready_since is None and self.state is AgentState.READY:
+            self._ready_since = now
+        # Nothing new is begun by an agent that leaves, or whose work peers
+        # may have taken over; what it handed on already still goes there.
+        self.flows.leaving = self.membership.leaving or self.membership.fenced
+        return followed
+
+    def _note_running(self, effects: list[AgentEffect]) -> None:
+        self._running.update(e.request for e in effects if isinstance(e, Run))
+
+    def _busy(self) -> bool:
+        return self.flows.count > 0 or not self.requests.idle
 
     @_handles(Tick)
     def _tick(self, now: float, event: Tick) -> Iterable[AgentEffect]:
-        if self._announced:
-            return []
-        self._announced = True
-        by_name = {**self.roster.by_name, self.identity.name: self.identity}
-        return [WriteRoster("announce", self.roster._replace(by_name=by_name))]
+        effects = self._follow(now, self.membership.tick(now, self._busy()))
+        return [*effects, *self.flows.tick(now), *self.requests.handle(now, event)]
+
+    @_handles(ConfigurationChanged)
+    def _configure(
+        self, now: float, event: ConfigurationChanged
+    ) -> Iterable[AgentEffect]:
+        # Pushes overtake each other: an accepted change must never revert.
+        if event.configuration.generation <= self.generation:
+            return [Count("agent.configuration_ignored")]
+        self.configuration = event.configuration
+        self.membership.generation = self.generation
+        service = event.configuration.services_by_name.get(self.service)
+        if service is not None:
+            self.flows.configure(now, service)
+            self.placement.configure(service)
+        return self.requests.handle(now, event)
 
     @_handles(RosterChanged)
     def _learn_roster(self, now: float, event: RosterChanged) -> Iterable[AgentEffect]:
-        if event.roster.revision >= self.roster.revision:
-            self.roster = event.roster
-        return []
+        return self._follow(now, self.membership.learn(now, event.roster))
 
     @_handles(RosterWritten)
     def _settle_roster(self, now: float, event: RosterWritten) -> Iterable[AgentEffect]:
-        if event.roster is not None:
-            self.roster = event.roster
-        self._announced = self.identity.name in self.roster.by_name
-        return []
+        return self._follow(now, self.membership.written(now, event))
+
+    @_handles(TargetReported)
+    def _take_report(self, now: float, event: TargetReported) -> Iterable[AgentEffect]:
+        self.placement.health.reported(now, event)
+        return self._follow(now, self.membership.target_reported(now, event))
+
+    @_handles(DrainRequested)
+    def _drain(self, now: float, event: DrainRequested) -> Iterable[AgentEffect]:
+        effects = self._follow(now, self.membership.drain(now, event.seconds))
+        return [*effects, *self.requests.handle(now, event)]
+
+    @_handles(PeerDatagram)
+    def _receive(self, now: float, event: PeerDatagram) -> Iterable[AgentEffect]:
+        sender, message = event
+        if isinstance(message, Heartbeat):
+            self.placement.heartbeat(now, sender, message)
+            return self._follow(now, self.membership.hear(now, sender, message))
+        flows = self.flows.peer(now, sender, message)
+        return [*flows, *self.requests.handle(now, event)]
 
     @_handles(FlowOpening)
     def _open_flow(self, now: float, event: FlowOpening) -> Iterable[AgentEffect]:
-        return [AcceptFlow(event.flow)]
+        if event.service != self.service:
+            return [Drop(Code.SERVICE_MISMATCH)]
+        if not self.membership.fenced:
+            return self.flows.opening(now, event)
+        peer = self._other(now)
+        return [HandOver(event.flow, peer)] if peer else [Drop(Code.FENCED)]
 
     @_handles(FlowDatagram)
     def _deliver(self, now: float, event: FlowDatagram) -> Iterable[AgentEffect]:
-        flow = str(event.caller).encode()
-        return [Deliver(flow, event.caller, event.entry, event.payload)]
+        if event.service != self.service:
+            return [Drop(Code.SERVICE_MISMATCH)]
+        if not self.membership.fenced:
+            return self.flows.datagram(now, event)
+        peer = self._other(now) if event.hops < HOP_LIMIT else None
+        if peer is None:
+            return [Drop(Code.FENCED)]
+        caller, entry, payload, hops = event[1:5]
+        return [ForwardDatagram(peer, caller, entry, payload, hops + 1)]
+
+    def _other(self, now: float) -> str | None:
+        return self.placement.choose_for_flow(now, self.load(now), forced=True)
+
+    @_handles(FlowClosed)
+    def _close_flow(self, now: float, event: FlowClosed) -> Iterable[AgentEffect]:
+        return self.flows.closed(event.flow)
 
     @_handles(RequestArrived)
-    def _run(self, now: float, event: RequestArrived) -> Iterable[AgentEffect]:
-        return [Run(event.request)]
+    def _arrive(self, now: float, event: RequestArrived) -> Iterable[AgentEffect]:
+        if not self.membership.fenced:
+            return self.requests.handle(now, event)
+        # This copy isn't run here; whether another copy ran, a fenced agent
+        # can't tell, and a relaying peer holds the claim and decides itself.
+        certain = event.idempotent or not event.key or event.relayed_by
+        kind = OutcomeKind.NOT_RUN if certain else OutcomeKind.UNKNOWN
+        return [FinishRequest(event.request, Outcome(kind, Code.FENCED, RETRY_FENCED))]
+
+    @_handles(RequestFinished)
+    def _finish(self, now: float, event: RequestFinished) -> Iterable[AgentEffect]:
+        if event.request in self._running:
+            self._running.discard(event.request)
+            failed = event.outcome.code in (Code.TARGET_FAILED, Code.ANSWER_LOST)
+            self.placement.health.finished(now, failed)
+        return self.requests.handle(now, event)
+
+    @_handles(RequestCancelled)
+    def _cancel(self, now: float, event: RequestCancelled) -> Iterable[AgentEffect]:
+        return self.requests.handle(now, event)
--- a/packages/zinniahook-core/src/zinniahook_core/events.py
+++ b/packages/zinniahook-core/src/zinniahook_core/events.py
@@ -161,11 +161,13 @@
     """At an agent: the target's own health and load endpoint answered.
 
     It may lag or mislead, so it is evidence with an age, never the truth.
-    ``healthy`` is None if there was no answer.
+    ``healthy`` is None if there was no answer, ``accepts`` tells whether the
+    target's port accepted a connection.
     """
 
     healthy: bool | None
     load: Load | None
+    accepts: bool = False
 
 
 EntryEvent = Tick | ConfigurationChanged | RosterChanged | CallerDatagram | AnswerSeen
--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/membership.py
@@ -0,0 +1,411 @@
+"""Announcing an agent, fencing it, and taking it out of its roster.
+
+The roster value in the store is changed by compare-and-swap alone. Every
+write is planned afresh from the newest roster known and from what this agent
+wants now, so a conflict, a lost answer and a store that was down are all
+settled in the same way: learn what is stored, plan again. A plan that finds
+nothing to change writes nothing.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from .codes import Code
+from .effects import AgentEffect, Count, Drained, Log, ReadRoster, Restart, SendPeer
+from .events import RosterWritten, TargetReported
+from .liveness import HEARTBEAT_INTERVAL, MARK_DOWN_AFTER, Liveness
+from .messages import Heartbeat
+from .models import AgentState, Load, Member, Roster
+from .rosters import BACKOFF_LONGEST, RosterWriter, Settlement
+
+__all__ = ["FENCE_AFTER", "Membership"]
+
+FENCE_AFTER = 3.0
+"""A pause this long fences. It is shorter than ``MARK_DOWN_AFTER``, so that
+no peer has acted on the absence before the agent itself knows of it."""
+assert FENCE_AFTER < MARK_DOWN_AFTER
+
+TARGET_GRACE = 10.0
+LINGER = 3.0
+REMOVAL_GRACE = 1.0
+URGENT_BEATS = 5
+URGENT_INTERVAL = 0.2
+READ_INTERVAL = 5.0
+DOWN_RETENTION = 300.0
+MEMBERS_LIMIT = 256
+
+
+class Membership:
+    """One agent's part in the roster of its service.
+
+    Parameters
+    ----------
+    identity : Member
+        What is announced. ``incarnation`` has to grow from one start of the
+        process to the next, as wall-clock seconds do; ``state`` is ignored.
+    service : str
+        The service of the roster.
+    rng : random.Random
+        Jitter of heartbeats and retries.
+    load : callable
+        Returns the agent's own ``Load`` for a time.
+    """
+
+    def __init__(
+        self,
+        identity: Member,
+        service: str,
+        rng: random.Random,
+        load: Callable[[float], Load],
+    ) -> None:
+        self.identity = identity._replace(state=AgentState.STARTING)
+        self.roster = Roster(service, 0, {})
+        self.generation = 0
+        self.drained = False
+        self._rng = rng
+        self._load = load
+        self._liveness = Liveness(identity.name)
+        self._writer = RosterWriter(identity.name, rng)
+        self._last_seen: float | None = None
+        self._started: float | None = None
+        self._confirmed = False
+        self._was_confirmed = False
+        self._highest = 0
+        self._roster_full = False
+        self._read_at = 0.0
+        self._sequence = 0
+        self._beat_at = 0.0
+        self._urgent_beats = 0
+        self._leave_since: float | None = None
+        self._leave_deadline = 0.0
+        self._departing = False
+
+    @property
+    def incarnation(self) -> int:
+        """The incarnation that this agent runs under."""
+        return self.identity.incarnation
+
+    @property
+    def state(self) -> AgentState:
+        """What this agent says of itself."""
+        return self.identity.state
+
+    @property
+    def leaving(self) -> bool:
+        """Whether a drain was requested; it takes effect at once."""
+        return self._leave_since is not None
+
+    @property
+    def fenced(self) -> bool:
+        """Whether the roster doesn't hold this incarnation, so far known."""
+        return not self._confirmed
+
+    @property
+    def accepting(self) -> bool:
+        """Whether this agent may take new work."""
+        ready = self.state is AgentState.READY
+        return ready and self._confirmed and not self.leaving
+
+    @property
+    def peers(self) -> dict[str, Member]:
+        """The other members that aren't marked down, by name."""
+        return {
+            member.name: member
+            for member in self.roster.by_name.values()
+            if member.name != self.identity.name and member.state is not AgentState.DOWN
+        }
+
+    def live(self, now: float) -> set[str]:
+        """Return the peers heard lately, in any state, and this agent."""
+        return self._liveness.live(now) | {self.identity.name}
+
+    def taking(self, now: float) -> set[str]:
+        """Return the members that may be given new work."""
+        live = self._liveness.live(now)
+        names = {
+            peer.name
+            for peer in self.peers.values()
+            if peer.state is AgentState.READY
+            and peer.name in live
+            and not self._liveness.leaving(peer.name)
+        }
+        return names | {self.identity.name} if self.accepting else names
+
+    def isolated(self, now: float) -> bool:
+        """Tell whether there are peers and none of them is heard.
+
+        Peers may then have marked this agent down without its knowledge, so
+        it must not decide alone on what only one agent may decide.
+        """
+        return bool(self.peers) and not self._liveness.live(now)
+
+    def loads(self, now: float) -> dict[str, tuple[Load, float]]:
+        """Return each peer's last own count and its age in seconds."""
+        return self._liveness.loads(now)
+
+    def wake(self, now: float) -> list[AgentEffect]:
+        """Fence this agent if it was paused; call before every event.
+
+        What goes wrong: a paused process wakes and acts on an authority
+        that peers have taken over meanwhile. It shows as a gap between two
+        events, for ticks come ten times a second.
+        """
+        gap = 0.0 if self._last_seen is None else now - self._last_seen
+        self._last_seen = now
+        if gap > HEARTBEAT_INTERVAL:
+            # What peers sent meanwhile still waits in the socket.
+            self._liveness.forgive(now)
+        if gap <= FENCE_AFTER or self.drained:
+            return []
+        return self._restart(now, "paused", self.incarnation + 1)
+
+    def tick(self, now: float, busy: bool) -> list[AgentEffect]:
+        """Send heartbeats, retry writes, finish a drain.
+
+        ``busy`` tells whether flows or requests are in progress here.
+        """
+        if self.drained:
+            return []
+        if self._started is None:
+            self._started = now
+        effects = self._beat(now)
+        if self._writer.expire(now, self.incarnation):
+            effects += self._read_lost()
+        if self.isolated(now):
+            # Whoever is marked down gets no more heartbeats.
+            effects += self._read_stale(now)
+        effects += self._leave(now, busy)
+        return effects + self._reconcile(now)
+
+    def hear(self, now: float, sender: str, heartbeat: Heartbeat) -> list[AgentEffect]:
+        """Take a peer's heartbeat."""
+        self._liveness.hear(now, sender, heartbeat)
+        stored = self.roster.by_name.get(sender)
+        unknown = stored is None or stored.incarnation < heartbeat.incarnation
+        if unknown or heartbeat.revision > self.roster.revision:
+            # The push of a newer roster got lost on its way here.
+            return self._read_stale(now)
+        return []
+
+    def learn(self, now: float, roster: Roster) -> list[AgentEffect]:
+        """Take a roster from the store or a peer, if it is newer."""
+        if roster.service != self.roster.service or self.drained:
+            return []
+        if roster.revision < self.roster.revision:
+            return []
+        return self._adopt(now, roster) + self._reconcile(now)
+
+    def written(self, now: float, event: RosterWritten) -> list[AgentEffect]:
+        """Settle the outcome of a write."""
+        settlement = self._writer.settle(
+            now, event, self.incarnation, self.roster.revision
+        )
+        if settlement is Settlement.LOST:
+            return self._read_lost()
+        if settlement is Settlement.DOWN:
+            return [Count("membership.store_down")]
+        effects: list[AgentEffect] = []
+        if settlement in (Settlement.CONFLICT, Settlement.SET_BACK):
+            effects.append(Count("membership.conflicts"))
+        stored = event.roster
+        if settlement is Settlement.SET_BACK:
+            stored = stored or Roster(self.roster.service, 0, {})
+            return effects + self._adopt(now, stored) + self._reconcile(now)
+        return effects + self.learn(now, stored) if stored else effects
+
+    def drain(self, now: float, seconds: float) -> list[AgentEffect]:
+        """Start a graceful leave, or bring its deadline forward."""
+        deadline = now + max(0.0, seconds)
+        if self.leaving:
+            self._leave_deadline = min(self._leave_deadline, deadline)
+            return []
+        self._leave_since = now
+        self._leave_deadline = deadline
+        self.identity = self.identity._replace(state=AgentState.LEAVING)
+        # Several at once: the loss of one must not keep new work coming.
+        self._urgent_beats = URGENT_BEATS
+        self._beat_at = now
+        log = self._log("agent-leaving", ("seconds", seconds))
+        return [log, *self._beat(now), *self._reconcile(now)]
+
+    def target_reported(self, now: float, event: TargetReported) -> list[AgentEffect]:
+        """Take the target's own report as evidence of readiness.
+
+        A target that says it is healthy is ready at once. One whose port
+        accepts connections while its health endpoint fails or denies is
+        ready after ``TARGET_GRACE`` seconds: the endpoint may be the liar.
+        """
+        if self.state is not AgentState.STARTING or self._started is None:
+            return []
+        waited = now - self._started >= TARGET_GRACE
+        if not event.healthy and not (event.accepts and waited):
+            return []
+        self.identity = self.identity._replace(state=AgentState.READY)
+        return [self._log("agent-ready"), *self._reconcile(now)]
+
+    def _restart(self, now: float, cause: str, incarnation: int) -> list[AgentEffect]:
+        self.identity = self.identity._replace(incarnation=incarnation)
+        self._confirmed = False
+        self._sequence = 0
+        self._writer.abandon(now)
+        self._liveness.forgive(now)
+        return [
+            Restart(incarnation),
+            Count("membership.restarts"),
+            self._log("agent-fenced", ("cause", cause)),
+        ]
+
+    def _adopt(self, now: float, roster: Roster) -> list[AgentEffect]:
+        former = self.roster
+        self.roster = roster
+        self._liveness.learn(now, roster)
+        return [*_marks(former, roster), *self._check_own(now)]
+
+    def _check_own(self, now: float) -> list[AgentEffect]:
+        stored = self.roster.by_name.get(self.identity.name)
+        if stored is None and self._highest > self.incarnation:
+            self._advance(self._highest)
+        if stored is None or stored.incarnation < self.incarnation:
+            return []
+        self._highest = stored.incarnation
+        if self._is_foreign(stored):
+            return self._step_aside(now, stored)
+        if stored.state is AgentState.DOWN:
+            # Peers took over its work; only a new incarnation may go on.
+            self._liveness.marked()
+            return self._restart(now, "marked down", self.incarnation + 1)
+        if self._confirmed:
+            return []
+        self._confirmed = self._was_confirmed = True
+        return [self._log("agent-announced")]
+
+    def _is_foreign(self, stored: Member) -> bool:
+        """Tell whether another life of this name wrote the stored entry."""
+        if stored.incarnation > self.incarnation:
+            return True
+        written = self._writer.may_have_written(self.incarnation)
+        return not self._confirmed and not written
+
+    def _step_aside(self, now: float, stored: Member) -> list[AgentEffect]:
+        # Of two lives with one name the later wins for good. If both took
+        # the name back in turn, each would cut the other's flows for ever.
+        if self._was_confirmed and stored.state is not AgentState.DOWN:
+            if not self._confirmed:
+                return []
+            return self._restart(now, "name taken over", self.incarnation)
+        self._advance(stored.incarnation)
+        return []
+
+    def _advance(self, past: int) -> None:
+        self.identity = self.identity._replace(incarnation=past + 1)
+
+    def _reconcile(self, now: float) -> list[AgentEffect]:
+        if self.drained or not self._writer.idle(now):
+            return []
+        members, marks = self._plan(now)
+        if members == self.roster.by_name:
+            return []
+        for name in self._liveness.expired(now, list(members), DOWN_RETENTION):
+            del members[name]
+        if not _bounded(members):
+            return self._refuse(now)
+        self._roster_full = False
+        roster = self.roster._replace(by_name=members)
+        write = self._writer.write(now, self.incarnation, roster)
+        return [Count("membership.marks_planned", marks), write] if marks else [write]
+
+    def _plan(self, now: float) -> tuple[dict[str, Member], int]:
+        """Return the members as they should be, and how many marks are new."""
+        name = self.identity.name
+        members = dict(self.roster.by_name)
+        stored = members.get(name)
+        if stored is None or stored.incarnation <= self.incarnation:
+            members[name] = self.identity
+            if self._departing:
+                del members[name]
+        if self.fenced or self._departing:
+            return members, 0
+        overdue = self._liveness.overdue(now, self.roster)
+        for peer in overdue:
+            members[peer.name] = peer._replace(state=AgentState.DOWN)
+        return members, len(overdue)
+
+    def _refuse(self, now: float) -> list[AgentEffect]:
+        self._writer.delay(now, BACKOFF_LONGEST)
+        if self._roster_full:
+            return []
+        self._roster_full = True
+        return [self._log("roster-full", ("code", Code.ROSTER_TOO_LARGE.value))]
+
+    def _leave(self, now: float, busy: bool) -> list[AgentEffect]:
+        if self._leave_since is None:
+            return []
+        late = now >= self._leave_deadline
+        # Stale entries still send openings here; stay to hand them over.
+        idle = not busy and now - self._leave_since >= LINGER
+        self._departing = self._departing or idle or late
+        if not self._departing:
+            return []
+        stored = self.roster.by_name.get(self.identity.name)
+        removed = stored is None or stored.incarnation > self.incarnation
+        overtime = now - self._leave_deadline
+        # With the store down the entry stays; peers mark it down later.
+        if not removed and (
+            overtime < 0 or (overtime < REMOVAL_GRACE and not self._writer.ailing)
+        ):
+            return []
+        self.drained = True
+        return [self._log("agent-drained"), Drained(AgentState.LEAVING)]
+
+    def _beat(self, now: float) -> list[AgentEffect]:
+        if now < self._beat_at:
+            return []
+        self._urgent_beats = max(0, self._urgent_beats - 1)
+        interval = URGENT_INTERVAL if self._urgent_beats else HEARTBEAT_INTERVAL
+        self._beat_at = now + interval * (0.8 + 0.4 * self._rng.random())
+        self._sequence += 1
+        heartbeat = Heartbeat(
+            self.incarnation,
+            self._sequence,
+            self.generation,
+            self._load(now),
+            self.leaving,
+            self.roster.revision,
+        )
+        return [SendPeer(peer, heartbeat) for peer in self.peers]
+
+    def _read_lost(self) -> list[AgentEffect]:
+        # Reading tells whether it was written. If reading fails as well, the
+        # compare of the next write does.
+        return [Count("membership.answers_lost"), ReadRoster(self.roster.service)]
+
+    def _read_stale(self, now: float) -> list[AgentEffect]:
+        if now < self._read_at:
+            return []
+        self._read_at = now + READ_INTERVAL * (1.0 + self._rng.random())
+        return [Count("membership.roster_stale"), ReadRoster(self.roster.service)]
+
+    def _log(self, event: str, *fields: tuple[str, str | int | float]) -> Log:
+        own = (("agent", self.identity.name), ("incarnation", self.incarnation))
+        return Log(event, own + fields)
+
+
+def _marks(former: Roster, roster: Roster) -> list[Log]:
+    """Return a line for each member that was newly marked down."""
+    return [
+        Log("agent-down", (("agent", name), ("incarnation", member.incarnation)))
+        for name, member in roster.by_name.items()
+        if member.state is AgentState.DOWN
+        and name in former.by_name
+        and former.by_name[name].state is not AgentState.DOWN
+    ]
+
+
+def _bounded(members: dict[str, Member]) -> bool:
+    """Remove marked members while there are too many; tell if it was enough."""
+    down = [m.name for m in members.values() if m.state is AgentState.DOWN]
+    while len(members) > MEMBERS_LIMIT and down:
+        del members[down.pop(0)]
+    return len(members) <= MEMBERS_LIMIT
--- a/packages/zinniahook-core/src/zinniahook_core/messages.py
+++ b/packages/zinniahook-core/src/zinniahook_core/messages.py
@@ -35,6 +35,8 @@
 
     ``sequence`` orders heartbeats of one incarnation; ``leaving`` is sent so
     that peers stop handing work over before the roster says so.
+    ``revision`` is the sender's roster revision: a receiver with a lower one
+    has missed a push.
     """
 
     incarnation: int
@@ -42,6 +44,7 @@
     generation: int
     load: Load
     leaving: bool = False
+    revision: int = 0
 
 
 class FlowAsk(NamedTuple):
--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/rosters.py
@@ -0,0 +1,133 @@
+"""One write of a roster at a time, with its retries.
+
+What goes wrong: a write takes effect while its answer is lost, or the store
+is down and every agent of every service tries again at the same moment. The
+first shows as STORE_ANSWER_LOST or as no answer at all, the second as
+STORE_DOWN. Each write names the revision it replaces, so that a second try
+can't undo anybody's change, and tries are spread by a jittered backoff.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from typing import NamedTuple
+
+from .codes import Code
+from .effects import WriteRoster
+from .events import RosterWritten
+from .models import Roster
+
+__all__ = ["RosterWriter", "Settlement"]
+
+WRITE_TIMEOUT = 5.0
+BACKOFF_FIRST = 0.2
+BACKOFF_LONGEST = 5.0
+
+
+class Settlement(enum.Enum):
+    """What is known of a write after its answer."""
+
+    FOREIGN = "not the write that is waited for"
+    WRITTEN = "stored"
+    CONFLICT = "certainly not stored; another write came first"
+    SET_BACK = "as a conflict, and the store holds an older roster than before"
+    DOWN = "certainly not stored; the store is down"
+    LOST = "stored or not, or still on its way"
+
+
+class Pending(NamedTuple):
+    """A write that has no answer yet."""
+
+    operation: str
+    base: int
+    sent: float
+
+
+class RosterWriter:
+    """Paces the writes of one agent to its service's roster value.
+
+    Parameters
+    ----------
+    name : str
+        The agent's name; starts every operation id.
+    rng : random.Random
+        Jitter of the retries.
+    """
+
+    def __init__(self, name: str, rng: random.Random) -> None:
+        self._name = name
+        self._rng = rng
+        self._pending: Pending | None = None
+        self._operations = 0
+        self._retry_at = 0.0
+        self._backoff = BACKOFF_FIRST
+        self._stored_incarnation: int | None = None
+
+    @property
+    def ailing(self) -> bool:
+        """Whether the last write got no proper answer from the store."""
+        return self._backoff > BACKOFF_FIRST
+
+    def idle(self, now: float) -> bool:
+        """Tell whether a write may be sent now."""
+        return self._pending is None and now >= self._retry_at
+
+    def may_have_written(self, incarnation: int) -> bool:
+        """Tell whether a write under ``incarnation`` may be in the store."""
+        return self._pending is not None or self._stored_incarnation == incarnation
+
+    def write(self, now: float, incarnation: int, roster: Roster) -> WriteRoster:
+        """Send ``roster`` in place of the revision that it names."""
+        self._operations += 1
+        operation = f"{self._name}/{incarnation}/{self._operations}"
+        self._pending = Pending(operation, roster.revision, now)
+        return WriteRoster(operation, roster)
+
+    def settle(
+        self, now: float, event: RosterWritten, incarnation: int, revision: int
+    ) -> Settlement:
+        """Take the answer to a write; ``revision`` is the newest known."""
+        pending = self._pending
+        if pending is None or event.operation != pending.operation:
+            return Settlement.FOREIGN
+        self._pending = None
+        if event.code is Code.OK:
+            self._backoff = BACKOFF_FIRST
+            self._stored_incarnation = incarnation
+            return Settlement.WRITTEN
+        if event.code is Code.CONFLICT:
+            self._backoff = BACKOFF_FIRST
+            self.delay(now, BACKOFF_FIRST * self._rng.random())
+            stored = event.roster.revision if event.roster else 0
+            if pending.base == revision and stored < revision:
+                return Settlement.SET_BACK
+            return Settlement.CONFLICT
+        self._back_off(now)
+        if event.code is Code.STORE_DOWN:
+            return Settlement.DOWN
+        self._stored_incarnation = incarnation
+        return Settlement.LOST
+
+    def expire(self, now: float, incarnation: int) -> bool:
+        """Give up waiting for an answer; return whether one was overdue."""
+        if self._pending is None or now - self._pending.sent < WRITE_TIMEOUT:
+            return False
+        self._pending = None
+        self._stored_incarnation = incarnation
+        self._back_off(now)
+        return True
+
+    def abandon(self, now: float) -> None:
+        """Forget the pending write: its incarnation is over."""
+        self._pending = None
+        self._stored_incarnation = None
+        self._retry_at = min(self._retry_at, now)
+
+    def delay(self, now: float, seconds: float) -> None:
+        """Send nothing for some seconds."""
+        self._retry_at = now + seconds
+
+    def _back_off(self, now: float) -> None:
+        self.delay(now, self._backoff * (0.5 + self._rng.random()))
+        self._backoff = min(BACKOFF_LONGEST, 2 * self._backoff)
