wire: bound the roster revision in the heartbeat's round-trip test

Cause: the drawn revision could be negative, which has no place on the wire. Change: drawn from the 64-bit range like the other numbers.

--- a/packages/zinniahook-wire/tests/test_peers.py
+++ b/packages/zinniahook-wire/tests/test_peers.py
@@ -25,6 +25,7 @@
         numbers,
         st.builds(Load, counts, counts, counts, counts, counts, times),
         st.booleans(),
+        numbers,
     ),
     messages.FlowAsk: st.builds(messages.FlowAsk, numbers, octets),
     messages.FlowAnswer: st.builds(messages.FlowAnswer, numbers, octets, texts),
@@ -42,6 +43,7 @@
         counts,
         texts,
         numbers,
+        numbers,
     ),
     messages.ClaimAnswer: st.builds(
         messages.ClaimAnswer,
@@ -52,6 +54,8 @@
         octets,
         times,
         st.sampled_from(Code),
+        numbers,
+        counts,
     ),
     messages.ClaimFinished: st.builds(
         messages.ClaimFinished, octets, texts, numbers, st.booleans(), octets
