Carry the roster revision and losses in claim messages

Cause: two agents with different rosters may both believe that they own a claim, and a new owner can't tell whether records were lost before it joined. Change: asks and records carry the sender's roster revision, answers the runner's incarnation and the number of known losses. Round trips of all messages pass; no measurement.

--- a/packages/zinniahook-core/src/zinniahook_core/messages.py
+++ b/packages/zinniahook-core/src/zinniahook_core/messages.py
@@ -100,7 +100,8 @@
     """Ask the claim owner of ``key``.
 
     ``attempt`` is the caller's count of attempts from 1, or 0 if the caller
-    does not say. ``number`` matches the answer to the ask.
+    does not say. ``number`` matches the answer to the ask. ``revision`` is
+    the asker's roster revision: a receiver with a lower one must not answer.
     """
 
     number: int
@@ -109,13 +110,16 @@
     attempt: int
     runner: str
     incarnation: int
+    revision: int = 0
 
 
 class ClaimAnswer(NamedTuple):
     """What the owner says; ``runner`` is who runs or ran the request.
 
     With FINISHED, ``answer`` is the kept answer if it is small enough.
-    ``retry_after`` is in seconds.
+    ``retry_after`` is in seconds. ``incarnation`` is the runner's. To LOOK,
+    ``losses`` says how many losses of records the sender knows of, which
+    limits what its NONE proves.
     """
 
     number: int
@@ -125,6 +129,8 @@
     answer: bytes = b""
     retry_after: float = 0.0
     code: Code = Code.OK
+    incarnation: int = 0
+    losses: int = 0
 
 
 class ClaimFinished(NamedTuple):
@@ -153,13 +159,19 @@
 
 
 class ClaimRecords(NamedTuple):
-    """Claims that the receiver owns from now on, or keeps a copy of."""
+    """Claims that the receiver owns from now on, or keeps a copy of.
+
+    With ``acknowledge`` the receiver sends the number back, without records
+    or ``acknowledge``. An empty batch to be acknowledged says that the sender
+    holds no record alone any more.
+    """
 
     sender: str
     incarnation: int
     number: int
     records: tuple[ClaimRecord, ...]
     acknowledge: bool = False
+    revision: int = 0
 
 
 PeerMessage = (
--- a/packages/zinniahook-wire/src/zinniahook_wire/peers.py
+++ b/packages/zinniahook-wire/src/zinniahook_wire/peers.py
@@ -177,6 +177,7 @@
         message.attempt,
         message.runner,
         message.incarnation,
+        message.revision,
     )
 
 
@@ -195,6 +196,8 @@
         message.answer,
         message.retry_after,
         Code(message.code),
+        message.incarnation,
+        message.losses,
     )
 
 
@@ -224,6 +227,7 @@
             peers_pb2.ClaimRecord(**record._asdict()) for record in message.records
         ],
         acknowledge=message.acknowledge,
+        revision=message.revision,
     )
 
 
@@ -235,6 +239,7 @@
         message.number,
         tuple(_decode_record(record) for record in message.records),
         message.acknowledge,
+        message.revision,
     )
 
 
--- a/packages/zinniahook-wire/tests/test_peers.py
+++ b/packages/zinniahook-wire/tests/test_peers.py
@@ -79,6 +79,7 @@
             max_size=5,
         ).map(tuple),
         st.booleans(),
+        numbers,
     ),
 }
 
