caller: HTTP/3 sessions that retry without running twice

Callers that never give up need one key over all attempts, waits that the system asks for, and a way out of a connection that went silent. A session keeps the key, counts attempts, passes its deadline on and raises one of a closed set of outcomes. Silence is first answered by a new local port, which keeps feeds in progress, then by a new connection.

--- a/packages/zinniahook-caller/src/zinniahook_caller/__init__.py
+++ b/packages/zinniahook-caller/src/zinniahook_caller/__init__.py
@@ -1,1 +1,50 @@
-"""HTTP/3 caller library that retries safely."""
+"""HTTP/3 caller library that retries safely.
+
+A call keeps one Idempotency-Key over all its attempts, honours Retry-After,
+deadlines and GOAWAY, and goes on when a connection falls silent.
+"""
+
+from .adapters import Adapter, Http3Adapter, Options, adapter, adapters_by_scheme
+from .connections import Silence
+from .exceptions import (
+    AnswerCutError,
+    CallerError,
+    ConnectError,
+    ConnectionLostError,
+    InProgressError,
+    InvalidRequestError,
+    NotRunError,
+    OutcomeError,
+    RequestCancelledError,
+    RequestRejectedError,
+    UnknownOutcomeError,
+)
+from .models import OutcomeKind, Request, Response
+from .retries import Backoff
+from .sessions import Session, StreamedResponse
+
+__all__ = [
+    "Adapter",
+    "AnswerCutError",
+    "Backoff",
+    "CallerError",
+    "ConnectError",
+    "ConnectionLostError",
+    "Http3Adapter",
+    "InProgressError",
+    "InvalidRequestError",
+    "NotRunError",
+    "Options",
+    "OutcomeError",
+    "OutcomeKind",
+    "Request",
+    "RequestCancelledError",
+    "RequestRejectedError",
+    "Response",
+    "Session",
+    "Silence",
+    "StreamedResponse",
+    "UnknownOutcomeError",
+    "adapter",
+    "adapters_by_scheme",
+]
--- /dev/null
+++ b/packages/zinniahook-caller/src/zinniahook_caller/adapters.py
@@ -0,0 +1,167 @@
+"""Transport adapters, registered by scheme; ``h3`` is the one built in."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import ssl
+from collections.abc import Callable
+from typing import NamedTuple
+
+from aioquic.h3.connection import H3_ALPN
+from aioquic.quic.configuration import QuicConfiguration
+
+from .connections import Exchange, Http3Connection, Silence, WindowedQuicConnection
+from .exceptions import ConnectError, InvalidRequestError
+from .models import Request
+
+__all__ = ["Adapter", "Http3Adapter", "Options", "adapter", "adapters_by_scheme"]
+
+IDLE_TIMEOUT = 60.0
+
+
+class Options(NamedTuple):
+    """How to reach a service.
+
+    ``ca`` names a PEM file of the authorities to trust, None those of the
+    system. ``connect_timeout`` is in seconds.
+    """
+
+    host: str
+    port: int
+    ca: str | None = None
+    server_name: str | None = None
+    verify: bool = True
+    silence: Silence = Silence()
+    connect_timeout: float = 3.0
+
+
+class Adapter(abc.ABC):
+    """Opens exchanges with one service.
+
+    Parameters
+    ----------
+    options : Options
+        How to reach the service.
+    """
+
+    def __init__(self, options: Options) -> None:
+        self.options = options
+
+    @abc.abstractmethod
+    async def open(self, request: Request) -> Exchange:
+        """Send a request.
+
+        Raises
+        ------
+        ConnectError
+            If it certainly was not sent.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Release every connection."""
+
+
+adapters_by_scheme: dict[str, type[Adapter]] = {}
+
+
+def adapter(scheme: str) -> Callable[[type[Adapter]], type[Adapter]]:
+    """Register a class as the adapter of ``scheme``."""
+
+    def register(cls: type[Adapter]) -> type[Adapter]:
+        adapters_by_scheme[scheme] = cls
+        return cls
+
+    return register
+
+
+@adapter("h3")
+class Http3Adapter(Adapter):
+    """HTTP/3 with one connection for new requests.
+
+    A connection that the server wants to leave (GOAWAY), or that was lost,
+    is replaced for new requests; the answers still due on it may finish.
+    """
+
+    def __init__(self, options: Options) -> None:
+        super().__init__(options)
+        self.opened = 0
+        self._connection: Http3Connection | None = None
+        self._leaving: list[Http3Connection] = []
+        self._lock = asyncio.Lock()
+
+    @property
+    def connection(self) -> Http3Connection | None:
+        """The connection for new requests, if there is one."""
+        return self._connection
+
+    async def open(self, request: Request) -> Exchange:
+        """Send a request, on a new connection if need be."""
+        connection = self._connection
+        if connection is None or not connection.usable:
+            connection = await self._renew()
+        return connection.start(request, self._authority)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for connection in [self._connection, *self._leaving]:
+            if connection is not None:
+                connection.shut()
+        self._connection = None
+        self._leaving.clear()
+
+    @property
+    def _authority(self) -> str:
+        return f"{self.options.server_name or self.options.host}:{self.options.port}"
+
+    async def _renew(self) -> Http3Connection:
+        async with self._lock:
+            current = self._connection
+            if current is not None and current.usable:
+                return current
+            self._connection = None
+            if current is not None:
+                self._leaving.append(current)
+            self._close_idle()
+            self._connection = await self._connect()
+            return self._connection
+
+    def _close_idle(self) -> None:
+        for connection in list(self._leaving):
+            if connection.lost or not connection.busy:
+                connection.shut()
+                self._leaving.remove(connection)
+
+    async def _connect(self) -> Http3Connection:
+        options = self.options
+        quic = WindowedQuicConnection(configuration=self._configuration())
+        connection = Http3Connection(quic, options.silence)
+        try:
+            async with asyncio.timeout(options.connect_timeout):
+                await connection.open((options.host, options.port))
+        except (TimeoutError, OSError) as error:
+            connection.shut()
+            place = f"{options.host}:{options.port}"
+            raise ConnectError(f"no connection to {place}: {error!r}") from error
+        except asyncio.CancelledError:
+            connection.shut()
+            raise
+        self.opened += 1
+        return connection
+
+    def _configuration(self) -> QuicConfiguration:
+        options = self.options
+        configuration = QuicConfiguration(
+            is_client=True,
+            alpn_protocols=H3_ALPN,
+            idle_timeout=IDLE_TIMEOUT,
+            server_name=options.server_name or options.host,
+            verify_mode=None if options.verify else ssl.CERT_NONE,
+        )
+        if options.ca is not None:
+            try:
+                configuration.load_verify_locations(cafile=options.ca)
+            except OSError as error:
+                raise InvalidRequestError(f"no such file: {options.ca}") from error
+        return configuration
--- /dev/null
+++ b/packages/zinniahook-caller/tests/conftest.py
@@ -0,0 +1,158 @@
+"""A plain aioquic server that answers as each test scripts it."""
+
+import asyncio
+import datetime
+import ipaddress
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+from aioquic.asyncio import QuicConnectionProtocol, serve
+from aioquic.buffer import encode_uint_var
+from aioquic.h3.connection import H3_ALPN, ErrorCode, FrameType, H3Connection
+from aioquic.h3.events import DataReceived, HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+
+class Certificate(NamedTuple):
+    """PEM files of a self-signed certificate and its key."""
+
+    chain: Path
+    key: Path
+
+
+class Received(NamedTuple):
+    """A whole request as the server saw it."""
+
+    server: "Server"
+    stream: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Server(QuicConnectionProtocol):
+    """Collects requests and hands them to the test's script."""
+
+    def __init__(self, script, served, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.script = script
+        self.served = served
+        self.h3 = H3Connection(self._quic)
+        self.headers = {}
+        self.bodies = {}
+        self.addresses = set()
+
+    def datagram_received(self, data, addr):
+        self.addresses.add(addr)
+        super().datagram_received(data, addr)
+
+    def quic_event_received(self, event):
+        for item in self.h3.handle_event(event):
+            if isinstance(item, HeadersReceived):
+                pairs = [(n.decode(), v.decode()) for n, v in item.headers]
+                self.headers[item.stream_id] = dict(pairs)
+            elif isinstance(item, DataReceived):
+                previous = self.bodies.get(item.stream_id, b"")
+                self.bodies[item.stream_id] = previous + item.data
+            if getattr(item, "stream_ended", False):
+                self.serve_request(item.stream_id)
+
+    def serve_request(self, stream):
+        body = self.bodies.get(stream, b"")
+        received = Received(self, stream, self.headers[stream], body)
+        self.served.append(received)
+        self.script(received)
+        self.transmit()
+
+    def answer(self, stream, status=200, body=b"", **headers):
+        fields = [(b":status", str(status).encode())]
+        fields += [
+            (name.replace("_", "-").encode(), str(value).encode())
+            for name, value in headers.items()
+        ]
+        self.h3.send_headers(stream, fields, end_stream=not body)
+        if body:
+            self.h3.send_data(stream, body, end_stream=True)
+        self.transmit()
+
+    def reset(self, stream, code=ErrorCode.H3_REQUEST_REJECTED):
+        self._quic.reset_stream(stream, code)
+        self.transmit()
+
+    def go_away(self, stream):
+        last = encode_uint_var(stream)
+        frame = encode_uint_var(FrameType.GOAWAY) + encode_uint_var(len(last)) + last
+        self._quic.send_stream_data(self.h3._local_control_stream_id, frame)
+        self.transmit()
+
+
+class Running(NamedTuple):
+    """A running server: where it is and what it got."""
+
+    address: str
+    served: list
+    connections: list
+
+
+@pytest.fixture(scope="session")
+def certificate(tmp_path_factory):
+    """Make a certificate for 127.0.0.1."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "test")])
+    now = datetime.datetime.now(datetime.UTC)
+    host = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    built = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .add_extension(x509.SubjectAlternativeName([host]), critical=False)
+        .sign(key, hashes.SHA256())
+    )
+    folder = tmp_path_factory.mktemp("certificates")
+    files = Certificate(folder / "test.pem", folder / "test.key")
+    files.chain.write_bytes(built.public_bytes(serialization.Encoding.PEM))
+    files.key.write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return files
+
+
+@pytest.fixture
+def run(certificate):
+    """Run a test coroutine against a server that follows its script."""
+
+    def runner(script, test):
+        async def main():
+            served, connections = [], []
+            configuration = QuicConfiguration(is_client=False, alpn_protocols=H3_ALPN)
+            configuration.load_cert_chain(certificate.chain, certificate.key)
+
+            def make(*args, **kwargs):
+                connections.append(Server(script, served, *args, **kwargs))
+                return connections[-1]
+
+            server = await serve(
+                "127.0.0.1", 0, configuration=configuration, create_protocol=make
+            )
+            host, port = server._transport.get_extra_info("sockname")[:2]
+            try:
+                async with asyncio.timeout(30):
+                    await test(Running(f"{host}:{port}", served, connections))
+            finally:
+                server.close()
+
+        asyncio.run(main())
+
+    return runner
--- /dev/null
+++ b/packages/zinniahook-caller/tests/test_sessions.py
@@ -0,0 +1,363 @@
+import asyncio
+import random
+
+import pytest
+from aioquic.h3.connection import ErrorCode
+from zinniahook_caller import (
+    AnswerCutError,
+    Backoff,
+    ConnectError,
+    InProgressError,
+    InvalidRequestError,
+    NotRunError,
+    OutcomeKind,
+    RequestCancelledError,
+    Session,
+    Silence,
+    UnknownOutcomeError,
+)
+from zinniahook_caller.connections import WINDOW
+
+QUICK = Backoff(base=0.001, limit=0.01)
+
+
+def session(running, certificate, **kwargs):
+    kwargs.setdefault("backoff", QUICK)
+    kwargs.setdefault("rng", random.Random(1))
+    return Session(running.address, ca=str(certificate.chain), **kwargs)
+
+
+def scripted(*answers):
+    """Answer the n-th request by the n-th function, the last one for ever."""
+    left = list(answers)
+
+    def script(received):
+        answer = left.pop(0) if len(left) > 1 else left[0]
+        answer(received)
+
+    return script
+
+
+def done(received):
+    received.server.answer(received.stream, body=received.body or b"whole")
+
+
+def refuse(received):
+    received.server.answer(
+        received.stream,
+        503,
+        retry_after=1,
+        zinniahook_retry_after=0.01,
+        zinniahook_outcome="not-run",
+        zinniahook_code=205,
+    )
+
+
+def say(kind, status=502):
+    def answer(received):
+        received.server.answer(received.stream, status, zinniahook_outcome=kind)
+
+    return answer
+
+
+def reject(received):
+    received.server.reset(received.stream)
+
+
+def cut(received):
+    received.server.reset(received.stream, ErrorCode.H3_INTERNAL_ERROR)
+
+
+class TestCalls:
+    def test_whole_answer_of_its_own_request(self, run, certificate):
+        waiting = []
+
+        def late_and_reordered(received):
+            waiting.append(received)
+            if len(waiting) == 5:
+                for item in reversed(waiting):
+                    done(item)
+
+        async def check(running):
+            async with session(running, certificate) as caller:
+                bodies = [b"%d" % number * 3000 for number in range(5)]
+                answers = await asyncio.gather(
+                    *(caller.post("/tickets", data=body) for body in bodies)
+                )
+                assert [answer.content for answer in answers] == bodies
+
+        run(late_and_reordered, check)
+
+    def test_key_is_kept_and_attempts_are_counted(self, run, certificate):
+        async def check(running):
+            async with session(running, certificate) as caller:
+                answer = await caller.post("/tickets", json={"ticket": 1})
+                assert answer.json() == {"ticket": 1}
+                assert answer.attempts == 3
+            headers = [received.headers for received in running.served]
+            assert len({fields["idempotency-key"] for fields in headers}) == 1
+            assert [f["zinniahook-attempt"] for f in headers] == ["1", "2", "3"]
+            left = [float(fields["zinniahook-deadline"]) for fields in headers]
+            assert left == sorted(left, reverse=True)
+
+        run(scripted(refuse, reject, done), check)
+
+    @pytest.mark.parametrize(
+        ("answer", "error", "outcome"),
+        [
+            (refuse, NotRunError, OutcomeKind.NOT_RUN),
+            (reject, NotRunError, OutcomeKind.NOT_RUN),
+            (say("in-progress", 409), InProgressError, OutcomeKind.IN_PROGRESS),
+            (say("unknown"), UnknownOutcomeError, OutcomeKind.UNKNOWN),
+            (say("new-in-2030"), UnknownOutcomeError, OutcomeKind.UNKNOWN),
+            (
+                say("cancelled-before", 499),
+                RequestCancelledError,
+                OutcomeKind.CANCELLED_BEFORE,
+            ),
+            (
+                say("cancelled-after", 499),
+                RequestCancelledError,
+                OutcomeKind.CANCELLED_AFTER,
+            ),
+        ],
+    )
+    def test_outcomes_are_a_closed_set(self, run, certificate, answer, error, outcome):
+        async def check(running):
+            async with session(running, certificate) as caller:
+                with pytest.raises(error) as caught:
+                    await caller.post("/tickets", data=b"x", deadline=0.3)
+                assert caught.value.outcome is outcome
+
+        run(scripted(answer), check)
+
+    def test_deadline_while_the_answer_is_due(self, run, certificate):
+        """An expired deadline must not be told as "not run".
+
+        Symptom: a clerk enters a ticket again that ran.
+        Sequence: the request is sent, no answer comes, the deadline expires.
+        Cause: the caller took its own giving up for a refusal.
+        """
+
+        async def check(running):
+            async with session(running, certificate) as caller:
+                with pytest.raises(UnknownOutcomeError):
+                    await caller.post("/tickets", data=b"x", deadline=0.3)
+
+        run(lambda received: None, check)
+
+    def test_cut_answer_is_asked_again_with_the_key(self, run, certificate):
+        async def check(running):
+            async with session(running, certificate) as caller:
+                assert (await caller.post("/tickets", data=b"x")).attempts == 2
+
+        run(scripted(cut, done), check)
+
+    def test_without_a_key_nothing_is_repeated(self, run, certificate):
+        """A POST without a key runs twice.
+
+        Symptom: a haulier is billed twice.
+        Sequence: the answer is cut, the caller sends the request again.
+        Cause: nothing tells the second copy from a new request.
+        """
+
+        async def check(running):
+            async with session(running, certificate) as caller:
+                with pytest.raises(UnknownOutcomeError):
+                    await caller.post("/tickets", data=b"x", key="")
+            assert len(running.served) == 1
+            assert "idempotency-key" not in running.served[0].headers
+
+        run(scripted(cut, done), check)
+
+    def test_refused_after_a_cut_get_is_not_told_as_certain(self, run, certificate):
+        async def check(running):
+            async with session(running, certificate) as caller:
+                with pytest.raises(UnknownOutcomeError):
+                    await caller.get("/ledger", deadline=0.3)
+
+        run(scripted(cut, refuse), check)
+
+    def test_bad_arguments(self, run, certificate):
+        async def check(running):
+            with pytest.raises(InvalidRequestError):
+                Session("nowhere")
+            with pytest.raises(InvalidRequestError):
+                Session(running.address, scheme="carrier-pigeon")
+            async with session(running, certificate) as caller:
+                with pytest.raises(InvalidRequestError):
+                    await caller.get("no-slash")
+                with pytest.raises(InvalidRequestError):
+                    await caller.post("/", data=b"x", json={})
+                with pytest.raises(InvalidRequestError):
+                    await caller.post("/", key="k" * 129)
+
+        run(scripted(done), check)
+
+
+class TestConnections:
+    def test_goaway_moves_new_requests_only(self, run, certificate):
+        """A planned stop cuts what is in progress, or takes new work for ever.
+
+        Symptom: a clerk's answer is lost when a target is replaced.
+        Sequence: GOAWAY arrives while an answer is due; a new call is made.
+        Cause: the caller left the connection, or stayed on it.
+        """
+        held = []
+
+        def script(received):
+            if not held:
+                held.append(received)
+                received.server.go_away(received.stream + 4)
+                return
+            done(received)
+
+        async def check(running):
+            async with session(running, certificate) as caller:
+                first = asyncio.create_task(caller.post("/tickets", data=b"first"))
+                while not held:
+                    await asyncio.sleep(0)
+                connection = caller.adapter.connection
+                while connection.usable:
+                    await asyncio.sleep(0)
+                second = await caller.post("/tickets", data=b"second")
+                assert second.content == b"second"
+                assert len(running.connections) == 2
+                done(held[0])
+                assert (await first).content == b"first"
+                assert (await first).attempts == 1
+
+        run(script, check)
+
+    def test_silent_path_is_left_by_a_new_port(self, run, certificate):
+        """An open feed goes silent for good.
+
+        Symptom: a foreman's feed shows nothing, and no error comes.
+        Sequence: something on the path loses track of the connection;
+        datagrams of its old port are dropped from then on.
+        Cause: the caller waited for an error that never comes.
+        """
+        silent = set()
+
+        def script(received):
+            received.server.h3.send_headers(received.stream, [(b":status", b"200")])
+            received.server.h3.send_data(received.stream, b"one\n", end_stream=False)
+
+        async def check(running):
+            limits = Silence(probe=0.1, move=0.3, give_up=5.0)
+            async with (
+                session(running, certificate, silence=limits) as caller,
+                caller.stream("GET", "/tally/feed") as feed,
+            ):
+                lines = feed.iter_lines()
+                assert await anext(lines) == b"one"
+                (server,) = running.connections
+                block(server, silent)
+                silent.update(server.addresses)
+                server.h3.send_data(0, b"two\n", end_stream=True)
+                server.transmit()
+                assert await anext(lines) == b"two"
+                assert caller.adapter.connection.moves >= 1
+                assert caller.adapter.opened == 1
+
+        run(script, check)
+
+    def test_lost_connection_is_replaced(self, run, certificate):
+        """A server that died takes the caller's work with it.
+
+        Symptom: a ticket is never filed although other targets are fine.
+        Sequence: the server stops answering on every port of a connection.
+        Cause: the caller stayed with a connection that nobody holds.
+        """
+        dead = []
+
+        def script(received):
+            if not dead:
+                dead.append(received.server)
+                received.server.datagram_received = lambda data, addr: None
+                return
+            done(received)
+
+        async def check(running):
+            limits = Silence(probe=0.1, move=0.2, give_up=0.6)
+            async with session(running, certificate, silence=limits) as caller:
+                answer = await caller.post("/tickets", data=b"x")
+                assert answer.attempts == 2
+                assert caller.adapter.opened == 2
+
+        run(script, check)
+
+    def test_slow_reader_stops_the_sender(self, run, certificate):
+        """A large export ends up in the caller's memory.
+
+        Symptom: a regulator's small machine runs out of memory.
+        Sequence: 8 MB are sent, the reader takes none of it for a while.
+        Cause: the stream's window grew with what arrived, not what was read.
+        """
+        size = 8 << 20
+
+        def script(received):
+            received.server.answer(received.stream, body=bytes(size))
+
+        async def check(running):
+            async with (
+                session(running, certificate) as caller,
+                caller.stream("GET", "/ledger") as ledger,
+            ):
+                sender = running.connections[0]._quic._streams[0]
+                while sender.sender.highest_offset < sender.max_stream_data_remote:
+                    await asyncio.sleep(0.01)
+                assert sender.max_stream_data_remote == WINDOW
+                total = 0
+                async for chunk in ledger.iter_content():
+                    total += len(chunk)
+                assert total == size
+
+        run(script, check)
+
+    def test_cut_stream_is_an_error_where_it_is_read(self, run, certificate):
+        def script(received):
+            received.server.h3.send_headers(received.stream, [(b":status", b"200")])
+            received.server.h3.send_data(received.stream, b"half", end_stream=False)
+            received.server.transmit()
+            cut(received)
+
+        async def check(running):
+            async with (
+                session(running, certificate) as caller,
+                caller.stream("GET", "/ledger") as ledger,
+            ):
+                with pytest.raises(AnswerCutError):
+                    await ledger.read()
+
+        run(script, check)
+
+    def test_nobody_there_is_certainly_not_run(self, run, certificate):
+        async def check(running):
+            limits = Silence()
+            caller = Session("127.0.0.1:9", ca=str(certificate.chain), silence=limits)
+            with pytest.raises(NotRunError) as caught:
+                await caller.post("/tickets", deadline=0.2)
+            assert not isinstance(caught.value, ConnectError)
+            await caller.close()
+
+        run(scripted(done), check)
+
+
+def block(server, silent):
+    """Drop what the server sends to, and gets from, silent addresses."""
+    receive = server.datagram_received
+    transport = server._transport
+
+    class Path:
+        def sendto(self, data, addr):
+            if addr not in silent:
+                transport.sendto(data, addr)
+
+        def __getattr__(self, name):
+            return getattr(transport, name)
+
+    server._transport = Path()
+    server.datagram_received = lambda data, addr: (
+        None if addr in silent else receive(data, addr)
+    )
