Keep plain UDP flows at their owner through joins and leaves

Cause: driving several agents and entries with lost, doubled and late messages showed three faults: a guess at the home was answered as if it were an owner, a joining agent without a roster dropped packets, and a silent home was handed openings that it could not take. Change: guesses are kept apart and never answered, packets wait for the first roster, a flow of a silent home is opened where it arrived.

--- a/packages/zinniahook-core/src/zinniahook_core/asks.py
+++ b/packages/zinniahook-core/src/zinniahook_core/asks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from .effects import SendPeer
@@ -29,6 +30,12 @@
     denied: set[str] = field(default_factory=set)
     packets: list[FlowDatagram] = field(default_factory=list)
 
+    def restart(self, now: float, asked: tuple[str, ...]) -> None:
+        """Ask anew under another roster; earlier denials are void."""
+        self.since = now
+        self.asked = asked
+        self.denied.clear()
+
     def messages(self) -> list[SendPeer]:
         """Return the asks to those that have not answered yet."""
         ask = FlowAsk(self.number, self.flow)
@@ -47,6 +54,9 @@
         self._bytes = 0
         self._number = 0
 
+    def __iter__(self) -> Iterator[Held]:
+        return iter(self._held_by_flow.values())
+
     def __contains__(self, flow: bytes) -> bool:
         return flow in self._held_by_flow
 
--- a/packages/zinniahook-core/src/zinniahook_core/flows.py
+++ b/packages/zinniahook-core/src/zinniahook_core/flows.py
@@ -76,6 +76,7 @@
         self._accepted: set[bytes] = set()
         self._pointers = Pointers()
         self._handshakes = Pointers()
+        self._redirects = Pointers()
         self._asks = Asks()
 
     @property
@@ -108,6 +109,8 @@
         if own is not None:
             self._incarnation = own.incarnation
         self.homes.update(now, roster, self._service)
+        for held in self._asks:
+            held.restart(now, self.homes.others(held.flow, ASK_WIDTH))
 
     def leave(self) -> None:
         """Open no flows from now on; those that are owned go on."""
@@ -119,6 +122,7 @@
         self._accepted.clear()
         self._pointers.clear()
         self._handshakes.clear()
+        self._redirects.clear()
         self._asks.clear()
         self.leaving = False
 
@@ -152,6 +156,9 @@
             return self._forward(now, flow, [event], pointer)
         if flow in self._asks:
             return self._hold(flow, event)
+        redirect = self._redirects.get(flow)
+        if redirect is not None and self._is_valid(now, redirect):
+            return self._forward(now, flow, [event], redirect)
         # A home that has just got the flow from another agent asks first:
         # the packet may belong to an established flow of the former home.
         homes = self.homes
@@ -183,7 +190,9 @@
     def tick(self, now: float) -> Effects:
         """Repeat, time out and age; call it at least ten times a second."""
         effects: Effects = []
-        for held in self._asks.overdue(now):
+        # Before its first roster an agent can't know whom to ask, and entries
+        # may know of it already; what they send waits.
+        for held in self._asks.overdue(now) if self.homes.is_known else []:
             effects.append(Count("flows.ask_timeout"))
             effects += self._decide(now, held)
         effects += self._asks.repeats(now)
@@ -191,6 +200,7 @@
         effects += self._owned.messages(now, self._incarnation)
         self._pointers.expire(now, EXPIRED_PER_TICK)
         self._handshakes.expire(now, EXPIRED_PER_TICK)
+        self._redirects.expire(now, EXPIRED_PER_TICK)
         return effects
 
     # Opening
@@ -275,6 +285,7 @@
                 # Two agents that each take the other for the owner would pass
                 # the packet on for ever; the next packet asks afresh.
                 self._pointers.drop(flow)
+                self._redirects.drop(flow)
                 effects.append(Drop(Code.HOP_LIMIT))
                 continue
             effects.append(
@@ -326,7 +337,7 @@
         if held is None:
             return [Drop(Code.FLOW_LIMIT)]
         effects = self._hold(flow, event)
-        if not asked:
+        if not asked and self.homes.is_known:
             return effects + self._decide(now, held)
         return [*effects, *held.messages(), Count("flows.asked")]
 
@@ -374,8 +385,14 @@
         flow = held.flow
         packets = self._asks.release(flow)
         home = self.homes.home(flow)
-        if home is None or home.name not in held.denied:
+        if home is None or home.name == self.name:
             return self._open(now, flow, packets)
-        pointer = self._pointer_to(now, home.name, REDIRECT_TIME)
-        self._pointers.put(flow, pointer)
-        return self._forward(now, flow, packets, pointer)
+        if home.name in held.denied:
+            # Kept apart from the pointers: it doesn't say who owns the flow.
+            redirect = self._pointer_to(now, home.name, REDIRECT_TIME)
+            self._redirects.put(flow, redirect)
+            return self._forward(now, flow, packets, redirect)
+        # The home is silent, and placement may not know yet that it is dead.
+        if self._refusal() is None:
+            return self._accept(now, flow, packets)
+        return self._open(now, flow, packets)
--- a/packages/zinniahook-core/src/zinniahook_core/homes.py
+++ b/packages/zinniahook-core/src/zinniahook_core/homes.py
@@ -48,6 +48,11 @@
         self._members_by_name: dict[str, Member] = {}
         self._formers: list[Former] = []
 
+    @property
+    def is_known(self) -> bool:
+        """Whether any roster was learned yet."""
+        return self._roster is not None
+
     @property
     def is_ready(self) -> bool:
         """Whether this agent may take new work by its roster."""
