--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/http3.py
@@ -0,0 +1,374 @@
+"""HTTP/3 on one connection of a caller."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from aioquic.buffer import encode_uint_var
+from aioquic.h3.connection import (
+    ErrorCode,
+    FrameType,
+    H3Connection,
+    HeadersState,
+    encode_frame,
+    stream_is_request_response,
+)
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.quic.events import (
+    HandshakeCompleted,
+    QuicEvent,
+    StopSendingReceived,
+    StreamDataReceived,
+    StreamReset,
+)
+from zinniahook_core.codes import Code, Outcome, OutcomeKind
+
+from .connections import ServerConnection
+from .exchanges import KEY_LENGTH, Exchange, Head, Headers, answer_of
+
+__all__ = ["CallerExchange", "Http3Session", "Owner"]
+
+HEADER_SIZE = 16 * 1024
+"""Largest header block of a request, in bytes as sent."""
+
+BODY_SIZE = 1 << 30
+"""Largest body of a request, in bytes."""
+
+HIGH_WATER = 256 * 1024
+"""Unacknowledged bytes of an answer at which its source has to wait."""
+
+LOW_WATER = HIGH_WATER // 2
+
+LAST_STREAM = (1 << 62) - 4
+"""Largest id of a request stream: a GOAWAY that rejects nothing yet."""
+
+PSEUDO_HEADERS = frozenset({b":method", b":path", b":scheme", b":authority"})
+
+
+class Owner(Protocol):
+    """What a session needs of its agent."""
+
+    def classify(self, path: str) -> str:
+        """Return the request class of a path, or empty."""
+
+    def arrived(self, exchange: Exchange) -> None:
+        """Take a new request."""
+
+    def cancelled(self, exchange: Exchange) -> None:
+        """Learn that the caller does not want an answer any more."""
+
+    def refused(self, code: Code) -> None:
+        """Count a request that was refused for its form."""
+
+
+class _Http3(H3Connection):
+    """An HTTP/3 connection without a dynamic header table.
+
+    A table would let a caller's few bytes stand for megabytes of headers,
+    make one lost packet hold up other requests, and cost memory on every
+    open connection.
+    """
+
+    _max_table_capacity = property(lambda self: 0, lambda self, value: None)
+    _blocked_streams = property(lambda self: 0, lambda self, value: None)
+
+    def go_away(self, stream_id: int) -> None:
+        """Tell the caller that requests from ``stream_id`` on are rejected."""
+        self._quic.send_stream_data(
+            self._local_control_stream_id,
+            encode_frame(FrameType.GOAWAY, encode_uint_var(stream_id)),
+        )
+
+    def buffered(self, stream_id: int) -> int:
+        """Return how much of an unfinished frame is or will be held."""
+        stream = self._stream.get(stream_id)
+        if stream is None:
+            return 0
+        announced = 0
+        if stream.frame_type == FrameType.HEADERS:
+            announced = stream.frame_size or 0
+        return max(len(stream.buffer), announced)
+
+    def awaits_head(self, stream_id: int) -> bool:
+        """Tell whether the head of a request is still to come."""
+        stream = self._stream.get(stream_id)
+        return stream is not None and stream.headers_recv_state == HeadersState.INITIAL
+
+    def forget(self, stream_id: int) -> None:
+        """Drop what is held of a stream."""
+        self._stream.pop(stream_id, None)
+
+
+class CallerExchange(Exchange):
+    """A request on an HTTP/3 stream of a caller."""
+
+    def __init__(
+        self, session: Http3Session, stream_id: int, head: Head, kind: str, now: float
+    ) -> None:
+        super().__init__(head, kind, now)
+        self.session = session
+        self.stream_id = stream_id
+        self.drained: asyncio.Future[None] | None = None
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of the answer."""
+        pairs = [(b":status", b"%d" % status), *headers]
+        self.session.send_headers(self.stream_id, pairs)
+
+    def send_piece(self, data: bytes) -> asyncio.Future[None] | None:
+        """Send a piece; return a future if the caller is behind."""
+        self.session.send_data(self.stream_id, data, end=False)
+        if self.session.connection.unsent(self.stream_id) < HIGH_WATER:
+            return None
+        self.drained = asyncio.get_running_loop().create_future()
+        self.session.waiting[self.stream_id] = self
+        return self.drained
+
+    def send_end(self) -> None:
+        """End the answer."""
+        self.session.send_data(self.stream_id, b"", end=True)
+        self.session.done(self)
+
+    def send_reset(self) -> None:
+        """Break the answer off."""
+        self.session.reset(self.stream_id, ErrorCode.H3_INTERNAL_ERROR)
+        self.session.done(self)
+
+    def body_taken(self, size: int) -> None:
+        """Let the caller send more of the body."""
+        self.session.taken(self.stream_id, size)
+
+    def release(self) -> None:
+        """Let a source that waits for this caller go on."""
+        if self.drained is not None and not self.drained.done():
+            self.drained.set_result(None)
+        self.drained = None
+
+
+class Http3Session:
+    """The requests of one connection.
+
+    Parameters
+    ----------
+    connection : ServerConnection
+        What they arrive on.
+    owner : Owner
+        The agent.
+    touch : callable
+        Called after something was given to the connection to send.
+    """
+
+    def __init__(
+        self,
+        connection: ServerConnection,
+        owner: Owner,
+        touch: Callable[[ServerConnection], None],
+    ) -> None:
+        self.connection = connection
+        self.by_stream: dict[int, CallerExchange] = {}
+        self.waiting: dict[int, CallerExchange] = {}
+        self.gone = False
+        self._owner = owner
+        self._touch = touch
+        self._http: _Http3 | None = None
+        self._rejected_from = LAST_STREAM + 4
+        self._next_stream = 0
+        self._deaf: set[int] = set()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is open."""
+        return bool(self.by_stream)
+
+    def handle(self, event: QuicEvent) -> None:
+        """Take an event of the connection."""
+        if isinstance(event, HandshakeCompleted):
+            self._http = _Http3(self.connection)
+            return
+        if self._http is None:
+            return
+        if isinstance(event, StreamDataReceived):
+            self._data(event)
+        elif isinstance(event, StreamReset | StopSendingReceived):
+            self._reset(event)
+
+    def flushed(self) -> None:
+        """Let sources go on whose callers have caught up."""
+        for stream_id, exchange in list(self.waiting.items()):
+            if self.connection.unsent(stream_id) <= LOW_WATER:
+                del self.waiting[stream_id]
+                exchange.release()
+
+    def ended(self) -> None:
+        """Cancel everything: the connection has ended."""
+        self._http = None
+        for exchange in list(self.by_stream.values()):
+            self._cancel(exchange)
+
+    def go_away(self, final: bool) -> None:
+        """Ask the caller for a new connection.
+
+        The first GOAWAY only asks; requests that crossed it are still taken.
+        After the ``final`` one, later requests are rejected, which HTTP/3
+        defines as certainly not processed.
+        """
+        if self._http is None:
+            return
+        if final:
+            self.gone = True
+            self._rejected_from = self._next_stream
+        self._http.go_away(self._next_stream if final else LAST_STREAM)
+        self._touch(self.connection)
+
+    # What exchanges send
+
+    def send_headers(self, stream_id: int, headers: list[tuple[bytes, bytes]]) -> None:
+        """Send a head."""
+        if self._http is not None:
+            self._http.send_headers(stream_id, headers)
+            self._touch(self.connection)
+
+    def send_data(self, stream_id: int, data: bytes, end: bool) -> None:
+        """Send a piece of an answer."""
+        if self._http is not None:
+            self._http.send_data(stream_id, data, end)
+            self._touch(self.connection)
+
+    def reset(self, stream_id: int, error_code: int) -> None:
+        """Break an answer off."""
+        if self._http is not None:
+            self.connection.reset_stream(stream_id, error_code)
+            self._touch(self.connection)
+
+    def taken(self, stream_id: int, size: int) -> None:
+        """Move a stream's window on."""
+        unread = self.connection.unread_by_stream
+        if stream_id in unread:
+            unread[stream_id] -= size
+            self._touch(self.connection)
+
+    def done(self, exchange: CallerExchange) -> None:
+        """Forget an exchange whose answer has ended."""
+        stream_id = exchange.stream_id
+        self.by_stream.pop(stream_id, None)
+        self.waiting.pop(stream_id, None)
+        self.connection.unread_by_stream.pop(stream_id, None)
+        exchange.release()
+        if not exchange.body.ended and self._http is not None:
+            self._ignore(stream_id, ErrorCode.H3_NO_ERROR)
+
+    # What the caller sends
+
+    def _data(self, event: StreamDataReceived) -> None:
+        stream_id = event.stream_id
+        if stream_id in self._deaf:
+            if event.end_stream:
+                self._deaf.discard(stream_id)
+            return
+        if stream_is_request_response(stream_id):
+            if stream_id >= self._rejected_from:
+                self._reject(stream_id)
+                return
+            self._next_stream = max(self._next_stream, stream_id + 4)
+        for http_event in self._http.handle_event(event):
+            self._http_event(http_event)
+        # A frame without end would be held as it grows.
+        if self._http is None or self._http.buffered(stream_id) <= HEADER_SIZE:
+            return
+        if self._http.awaits_head(stream_id):
+            self._refuse(stream_id, Code.HEADER_TOO_LARGE)
+        else:
+            self.connection.close(ErrorCode.H3_EXCESSIVE_LOAD)
+
+    def _http_event(self, event: H3Event) -> None:
+        if isinstance(event, HeadersReceived):
+            exchange = self.by_stream.get(event.stream_id)
+            if exchange is None:
+                self._request(event)
+            elif event.stream_ended:
+                exchange.body.feed(b"", end=True)
+        elif isinstance(event, DataReceived):
+            self._body(event)
+
+    def _request(self, event: HeadersReceived) -> None:
+        values = dict(event.headers)
+        headers = tuple(
+            (name, value) for name, value in event.headers if name not in PSEUDO_HEADERS
+        )
+        if b":authority" in values and b"host" not in values:
+            headers += ((b"host", values[b":authority"]),)
+        head = Head(
+            values.get(b":method", b"").decode("latin-1"),
+            values.get(b":path", b"").decode("latin-1"),
+            headers,
+        )
+        kind = self._owner.classify(head.path)
+        code = _fault(head)
+        if code is not None:
+            self._refuse(event.stream_id, code)
+            return
+        now = asyncio.get_running_loop().time()
+        exchange = CallerExchange(self, event.stream_id, head, kind, now)
+        self.by_stream[event.stream_id] = exchange
+        self.connection.unread_by_stream[event.stream_id] = 0
+        if event.stream_ended:
+            exchange.body.feed(b"", end=True)
+        self._owner.arrived(exchange)
+
+    def _body(self, event: DataReceived) -> None:
+        exchange = self.by_stream.get(event.stream_id)
+        if exchange is None:
+            return
+        if exchange.body.size + len(event.data) > BODY_SIZE:
+            exchange.refuse(Outcome(OutcomeKind.UNKNOWN, Code.BODY_TOO_LARGE))
+            self._owner.cancelled(exchange)
+            return
+        self.connection.unread_by_stream[event.stream_id] += len(event.data)
+        exchange.body.feed(event.data, event.stream_ended)
+
+    def _reset(self, event: StreamReset | StopSendingReceived) -> None:
+        self._http.handle_event(event)
+        self._deaf.discard(event.stream_id)
+        exchange = self.by_stream.get(event.stream_id)
+        if exchange is None:
+            return
+        self.connection.reset_stream(event.stream_id, ErrorCode.H3_REQUEST_CANCELLED)
+        self._cancel(exchange)
+
+    def _cancel(self, exchange: CallerExchange) -> None:
+        exchange.finished = True
+        self.done(exchange)
+        exchange.body.abort()
+        self._owner.cancelled(exchange)
+
+    def _refuse(self, stream_id: int, code: Code) -> None:
+        self._owner.refused(code)
+        answer = answer_of(Outcome(OutcomeKind.NOT_RUN, code))
+        pairs = [(b":status", b"%d" % answer.status), *answer.headers]
+        self._http.send_headers(stream_id, pairs)
+        self._http.send_data(stream_id, answer.body, end_stream=True)
+        self._ignore(stream_id, ErrorCode.H3_NO_ERROR)
+        self._touch(self.connection)
+
+    def _reject(self, stream_id: int) -> None:
+        self._owner.refused(Code.LEAVING)
+        self.connection.reset_stream(stream_id, ErrorCode.H3_REQUEST_REJECTED)
+        self._ignore(stream_id, ErrorCode.H3_REQUEST_REJECTED)
+        self._touch(self.connection)
+
+    def _ignore(self, stream_id: int, error_code: int) -> None:
+        """Take no more of a stream's data."""
+        self._http.forget(stream_id)
+        if self.connection.stop_receiving(stream_id, error_code):
+            self._deaf.add(stream_id)
+
+
+def _fault(head: Head) -> Code | None:
+    """Return why a request is refused for its form, if it is."""
+    if len(head.get(b"idempotency-key")) > KEY_LENGTH:
+        return Code.KEY_TOO_LONG
+    if (head.number(b"content-length") or 0) > BODY_SIZE:
+        return Code.BODY_TOO_LARGE
+    return None
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/targets.py
@@ -0,0 +1,309 @@
+"""HTTP/1.1 to the target on loopback.
+
+What matters here is to know whether a request that failed may have run. A
+request certainly didn't if no byte of it went out, or if the target says so
+itself: status 503 with ``zinniahook-outcome: not-run``. Everything else that
+fails may have run.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections import deque
+from typing import NamedTuple
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    HTTPOutputError,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+from zinniahook_core.codes import Code, Outcome, OutcomeKind
+from zinniahook_core.events import TargetReported
+from zinniahook_core.models import Address, Load
+
+from .exchanges import BodyAborted, Exchange, Headers
+
+__all__ = ["Result", "Target"]
+
+CONNECT_TIMEOUT = 2.0
+PROBE_TIMEOUT = 1.0
+
+IDLE_CONNECTIONS = 4
+IDLE_TIME = 3.0
+"""Seconds after which an unused connection isn't used again."""
+
+CHUNK = 64 * 1024
+HEADER_SIZE = 64 * 1024
+UNBOUNDED = 1 << 62
+
+SHED_RETRY_AFTER = 0.5
+"""Seconds to wait after a target shed a request without saying for how long."""
+
+BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "expect",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+OWN_HEADERS = frozenset(
+    {"zinniahook-attempt", "zinniahook-code", "zinniahook-deadline"}
+    | {"zinniahook-outcome", "zinniahook-retry-after"}
+)
+
+PARAMETERS = HTTP1ConnectionParameters(
+    chunk_size=CHUNK, max_header_size=HEADER_SIZE, max_body_size=UNBOUNDED
+)
+
+
+class Result(NamedTuple):
+    """How a request ended; ``started`` is false if it certainly never ran."""
+
+    outcome: Outcome
+    started: bool
+
+
+DONE = Result(Outcome(OutcomeKind.DONE, Code.OK), True)
+FAILED = Result(Outcome(OutcomeKind.UNKNOWN, Code.TARGET_FAILED), True)
+UNREACHED = Result(
+    Outcome(OutcomeKind.NOT_RUN, Code.TARGET_FAILED, SHED_RETRY_AFTER), False
+)
+
+
+class _Idle(NamedTuple):
+    """A connection that may be used again, and since when it is idle."""
+
+    stream: IOStream
+    since: float
+
+
+class _Reader(HTTPMessageDelegate):
+    """Passes the target's answer to an exchange."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+        self.shed: float | None = None
+        self.finished = False
+        self.keeps_open = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Pass the head on, unless the request was shed."""
+        if start_line.code < 200:
+            return
+        self.keeps_open = (
+            start_line.version == "HTTP/1.1"
+            and headers.get("connection", "").lower() != "close"
+        )
+        if start_line.code == 503 and headers.get("zinniahook-outcome") == "not-run":
+            self.shed = _seconds(headers.get("retry-after", ""))
+            return
+        self.exchange.begin(start_line.code, _answer_headers(headers))
+
+    def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
+        """Pass a piece on; the target waits while the caller is behind."""
+        return None if self.shed is not None else self.exchange.write(chunk)
+
+    def finish(self) -> None:
+        """Note that the answer is whole."""
+        self.finished = True
+
+    def on_connection_close(self) -> None:
+        """Leave the verdict to the end of the read."""
+
+
+class Target:
+    """The target beside this agent.
+
+    Parameters
+    ----------
+    address : Address
+        Where it listens.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self._client = TCPClient()
+        self._idle: deque[_Idle] = deque()
+        self._loop = asyncio.get_running_loop()
+
+    async def run(self, exchange: Exchange) -> Result:
+        """Run a request and stream its answer.
+
+        To cancel the task that awaits this closes the connection, which is
+        how the target learns of it. ``exchange.started`` is set before the
+        first byte goes out.
+        """
+        # A target may close an idle connection just as a request goes out on
+        # it, and nobody could tell whether it ran. So only what may be
+        # repeated goes over a used one.
+        stream = self._reuse() if exchange.idempotent else None
+        if stream is not None:
+            result = await self._run_on(stream, exchange)
+            if result is not FAILED or exchange.status or exchange.body.taken:
+                return result
+        try:
+            stream = await asyncio.wait_for(
+                self._client.connect(*self.address), CONNECT_TIMEOUT
+            )
+        except (OSError, StreamClosedError, TimeoutError):
+            return UNREACHED
+        return await self._run_on(stream, exchange)
+
+    async def probe(self) -> TargetReported:
+        """Ask the target's own health and load endpoints."""
+        health = await self._fetch("/health")
+        if health is None:
+            return TargetReported(None, None, await self._accepts())
+        load = await self._fetch("/load")
+        return TargetReported(health is not False, _load(load), True)
+
+    async def _accepts(self) -> bool:
+        """Tell whether the target's port accepts a connection."""
+        try:
+            stream = await asyncio.wait_for(
+                self._client.connect(*self.address), CONNECT_TIMEOUT
+            )
+        except (OSError, StreamClosedError, TimeoutError):
+            return False
+        stream.close()
+        return True
+
+    async def _fetch(self, path: str) -> object:
+        """Return the JSON at ``path``; None if unanswered, False if refused."""
+        url = f"http://{self.address}{path}"
+        try:
+            answer = await AsyncHTTPClient().fetch(
+                url,
+                request_timeout=PROBE_TIMEOUT,
+                connect_timeout=PROBE_TIMEOUT,
+                raise_error=False,
+            )
+            if answer.code == 599:
+                return None
+            return json.loads(answer.body) if answer.code == 200 else False
+        except (HTTPClientError, OSError, ValueError):
+            return None
+
+    def _reuse(self) -> IOStream | None:
+        while self._idle:
+            stream, since = self._idle.pop()
+            if not stream.closed() and self._loop.time() - since < IDLE_TIME:
+                return stream
+            stream.close()
+        return None
+
+    def _keep(self, stream: IOStream) -> None:
+        self._idle.append(_Idle(stream, self._loop.time()))
+        if len(self._idle) > IDLE_CONNECTIONS:
+            self._idle.popleft().stream.close()
+
+    async def _run_on(self, stream: IOStream, exchange: Exchange) -> Result:
+        stream.set_nodelay(True)
+        connection = HTTP1Connection(stream, True, PARAMETERS)
+        reader = _Reader(exchange)
+        exchange.started = True
+        sender = asyncio.ensure_future(self._send(connection, exchange))
+        try:
+            # A target may answer before it has read the whole body.
+            await connection.read_response(reader)
+        except (StreamClosedError, HTTPInputError):
+            pass
+        finally:
+            sent = sender.done() and not sender.cancelled()
+            sender.cancel()
+            if sent and reader.finished and reader.keeps_open and not stream.closed():
+                self._keep(stream)
+            else:
+                stream.close()
+        return _verdict(reader, exchange)
+
+    async def _send(self, connection: HTTP1Connection, exchange: Exchange) -> None:
+        head = exchange.head
+        start_line = RequestStartLine(head.method, head.path, "HTTP/1.1")
+        headers = _request_headers(exchange, self._loop.time())
+        try:
+            await connection.write_headers(start_line, headers)
+            if head.method in BODY_METHODS or "content-length" in headers:
+                async for piece in exchange.body:
+                    await connection.write(piece)
+            connection.finish()
+        except (StreamClosedError, HTTPOutputError, ValueError, BodyAborted):
+            # The read of the answer ends with the connection and decides.
+            connection.close()
+
+
+def _verdict(reader: _Reader, exchange: Exchange) -> Result:
+    if reader.shed is not None:
+        outcome = Outcome(OutcomeKind.NOT_RUN, Code.TARGET_SHED, reader.shed)
+        return Result(outcome, False)
+    if reader.finished and exchange.status:
+        exchange.finish()
+        return DONE
+    if exchange.status:
+        exchange.fail()
+    return FAILED
+
+
+def _request_headers(exchange: Exchange, now: float) -> HTTPHeaders:
+    headers = HTTPHeaders()
+    for name, value in exchange.head.headers:
+        text = name.decode("latin-1")
+        if text in HOP_BY_HOP or text in OWN_HEADERS:
+            continue
+        headers.add(text, value.decode("latin-1"))
+    if exchange.deadline is not None:
+        headers["zinniahook-deadline"] = f"{max(0.0, exchange.deadline - now):.3f}"
+    empty = exchange.body.ended and not exchange.body.size
+    if exchange.head.method in BODY_METHODS and empty:
+        headers["content-length"] = "0"
+    return headers
+
+
+def _answer_headers(headers: HTTPHeaders) -> Headers:
+    return tuple(
+        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        for name, value in headers.get_all()
+        if name.lower() not in HOP_BY_HOP and name.lower() not in OWN_HEADERS
+    )
+
+
+def _seconds(text: str) -> float:
+    with contextlib.suppress(ValueError):
+        return min(max(float(text), 0.0), 60.0)
+    return SHED_RETRY_AFTER
+
+
+def _load(document: object) -> Load | None:
+    """Return the load that a target reports, or None if it isn't one."""
+    if not isinstance(document, dict):
+        return None
+    try:
+        return Load(
+            slots=int(document["slots"]),
+            busy=int(document["busy"]),
+            queued=int(document.get("queued", 0)),
+            flows=int(document.get("flows", 0)),
+            streams=int(document.get("streams", 0)),
+            cold=float(document.get("cold", 0.0)),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
@@ -0,0 +1,339 @@
+"""Datagrams of an agent: callers' flows, openings handed on, peers' messages."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from aioquic.buffer import Buffer
+from aioquic.h3.connection import ErrorCode
+from aioquic.quic.packet import (
+    QuicPacketType,
+    encode_quic_version_negotiation,
+    pull_quic_header,
+)
+from zinniahook_core import effects as todo
+from zinniahook_core.codes import Code
+from zinniahook_core.events import FlowDatagram, FlowOpening, PeerDatagram
+from zinniahook_core.models import Address, Configuration, Protocol
+from zinniahook_core.routing import (
+    CONNECTION_ID_LENGTH,
+    ConnectionIds,
+    Owner,
+    destination_of,
+)
+from zinniahook_wire import peers
+from zinniahook_wire.tunnels import NO_ADDRESS, TunnelDatagram, TunnelKind
+
+from .connections import Connections, ServerConnection, make_configuration
+from .http3 import Http3Session
+from .udpflows import UdpFlows
+
+if TYPE_CHECKING:
+    from .agents import Agent
+
+__all__ = ["Traffic"]
+
+INITIAL_SIZE = 1200
+"""Least size of a datagram that may open a connection."""
+
+Handler = Callable[["Traffic", Any], None]
+
+_HANDLERS_BY_EFFECT: dict[type, Handler] = {}
+
+
+def _executes(effect_type: type) -> Callable[[Handler], Handler]:
+    """Register what carries out one type of effect."""
+
+    def register(handler: Handler) -> Handler:
+        _HANDLERS_BY_EFFECT[effect_type] = handler
+        return handler
+
+    return register
+
+
+class Traffic:
+    """The datagrams of one agent.
+
+    Parameters
+    ----------
+    agent : Agent
+        Decides on what isn't known here.
+    """
+
+    def __init__(self, agent: Agent) -> None:
+        self.agent = agent
+        self.node = agent.node
+        settings = agent.node.settings.agent
+        self._ids: ConnectionIds | None = None
+        self._restarting = False
+        self._opening: TunnelDatagram | None = None
+        self.flows = UdpFlows(settings.target, self._answer_flow)
+        self.connections = Connections(
+            make_configuration(settings.certificate, settings.key),
+            self._issue,
+            self._send,
+            self._begin,
+            self._closed,
+        )
+        agent.node.on_tunnel(self._receive)
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take the keys of a new configuration."""
+        self._ids = ConnectionIds(
+            configuration.flow_keys_by_number, configuration.flow_key, self.agent.rng
+        )
+
+    def reload(self) -> None:
+        """Read the certificate again, for new connections."""
+        settings = self.node.settings.agent
+        self.connections.configuration = make_configuration(
+            settings.certificate, settings.key
+        )
+
+    def execute(self, effect: Any) -> None:
+        """Carry out an effect on flows or peers."""
+        _HANDLERS_BY_EFFECT[type(effect)](self, effect)
+
+    def keep_alive(self) -> None:
+        """Look for silent connections."""
+        self.connections.keep_alive()
+
+    def go_away(self, final: bool) -> None:
+        """Ask every caller for a new connection."""
+        for connection in self.connections:
+            connection.session.go_away(final)
+
+    def close_idle(self) -> None:
+        """End connections that were asked to go and have nothing open."""
+        for connection in self.connections:
+            if connection.session.gone and not connection.session.busy:
+                self.connections.close(connection, ErrorCode.H3_NO_ERROR, "leaving")
+
+    def close(self) -> None:
+        """End every flow."""
+        for connection in self.connections:
+            self.connections.close(connection, ErrorCode.H3_NO_ERROR, "leaving")
+        self.flows.close()
+
+    def restart(self) -> None:
+        """Drop every flow; the core already knows."""
+        self._restarting = True
+        try:
+            for connection in self.connections:
+                # Callers go on over a new connection at once, instead of
+                # waiting for this one to fall silent.
+                connection.close(error_code=ErrorCode.H3_INTERNAL_ERROR)
+                now = self.agent.node.loop.time()
+                for datagram, caller in connection.datagrams_to_send(now):
+                    self._send(connection, datagram, caller)
+                self.connections.drop(connection)
+            self.flows.close()
+        finally:
+            self._restarting = False
+
+    # What connections ask for
+
+    def _issue(self) -> bytes:
+        agent = self.agent
+        incarnation = agent.core.identity.incarnation
+        owner = Owner(agent.service.number, self.node.tunnel_address, incarnation)
+        return self._ids.encode(owner)
+
+    def _send(
+        self, connection: ServerConnection, payload: bytes, caller: Address
+    ) -> None:
+        self._to_caller(caller, connection.entry, payload)
+
+    def _begin(self, connection: ServerConnection) -> Http3Session:
+        return Http3Session(connection, self.agent, self.connections.touch)
+
+    def _closed(self, connection: ServerConnection) -> None:
+        if not self._restarting:
+            self.agent.closed(connection.flow)
+
+    # Datagrams in
+
+    def _receive(self, datagram: TunnelDatagram, source: Address) -> None:
+        if datagram.service != self.agent.service.number:
+            self._drop(Code.SERVICE_MISMATCH)
+            return
+        if datagram.kind is TunnelKind.PEER:
+            self._receive_message(datagram)
+            return
+        if datagram.kind is not TunnelKind.TO_AGENT:
+            self._drop(Code.TUNNEL_MALFORMED)
+            return
+        handed_by = ""
+        if datagram.entry == NO_ADDRESS:
+            datagram = datagram._replace(entry=source)
+        elif datagram.handed:
+            handed_by = self._peer_at(source)
+        if self.agent.service.protocol is Protocol.UDP:
+            self._receive_flow(datagram, handed_by)
+        else:
+            self._receive_quic(datagram, handed_by)
+
+    def _receive_message(self, datagram: TunnelDatagram) -> None:
+        decoded = peers.decode(datagram.payload)
+        if isinstance(decoded, Code):
+            self._drop(decoded)
+            return
+        self.agent.feed(PeerDatagram(*decoded))
+
+    def _receive_flow(self, datagram: TunnelDatagram, handed_by: str) -> None:
+        self.agent.feed(
+            FlowDatagram(
+                self.agent.service.name,
+                datagram.caller,
+                datagram.entry,
+                datagram.payload,
+                datagram.hops,
+                handed_by,
+            )
+        )
+
+    def _receive_quic(self, datagram: TunnelDatagram, handed_by: str) -> None:
+        destination = destination_of(datagram.payload)
+        if isinstance(destination, Code):
+            self._drop(destination)
+            return
+        is_long, connection_id = destination
+        connection = self.connections.by_id.get(connection_id)
+        if connection is not None:
+            self.connections.receive(
+                connection, datagram.payload, datagram.caller, datagram.entry
+            )
+        elif is_long and self._may_open(datagram):
+            self._open(connection_id, datagram, handed_by)
+        else:
+            self._drop(Code.CONNECTION_ID_UNKNOWN)
+
+    def _may_open(self, datagram: TunnelDatagram) -> bool:
+        """Tell whether a datagram without a connection is an opening."""
+        payload = datagram.payload
+        if len(payload) < INITIAL_SIZE:
+            return False
+        try:
+            buffer = Buffer(data=payload)
+            header = pull_quic_header(buffer, host_cid_length=CONNECTION_ID_LENGTH)
+        except ValueError:
+            return False
+        versions = self.connections.configuration.supported_versions
+        if header.version in versions:
+            return header.packet_type is QuicPacketType.INITIAL
+        if header.version:
+            answer = encode_quic_version_negotiation(
+                source_cid=header.destination_cid,
+                destination_cid=header.source_cid,
+                supported_versions=versions,
+            )
+            self._to_caller(datagram.caller, datagram.entry, answer)
+        return False
+
+    def _open(self, flow: bytes, datagram: TunnelDatagram, handed_by: str) -> None:
+        # The core answers an opening in the same call, so one is enough.
+        self._opening = datagram
+        service = self.agent.service.name
+        self.agent.feed(FlowOpening(service, flow, datagram.caller, handed_by))
+        self._opening = None
+
+    # Effects
+
+    @_executes(todo.AcceptFlow)
+    def _accept(self, effect: todo.AcceptFlow) -> None:
+        datagram = self._opening
+        if datagram is None:
+            return
+        connection = self.connections.open(effect.flow)
+        if connection is None:
+            self._drop(Code.FLOW_LIMIT)
+            self.agent.closed(effect.flow)
+            return
+        self.node.count("agent.flows")
+        self.connections.receive(
+            connection, datagram.payload, datagram.caller, datagram.entry
+        )
+
+    @_executes(todo.HandOver)
+    def _hand_over(self, effect: todo.HandOver) -> None:
+        datagram = self._opening
+        if datagram is None:
+            return
+        hops = datagram.hops + 1
+        self._forward(effect.peer, datagram._replace(hops=hops, handed=True))
+
+    @_executes(todo.Deliver)
+    def _deliver(self, effect: todo.Deliver) -> None:
+        if not self.flows.deliver(*effect):
+            self._drop(Code.SOCKET_FULL)
+
+    @_executes(todo.ForwardDatagram)
+    def _forward_datagram(self, effect: todo.ForwardDatagram) -> None:
+        datagram = TunnelDatagram(
+            TunnelKind.TO_AGENT,
+            self.agent.service.number,
+            self.node.generation,
+            effect.hops,
+            effect.handed,
+            effect.caller,
+            effect.entry,
+            effect.payload,
+        )
+        self._forward(effect.peer, datagram)
+
+    @_executes(todo.EndFlow)
+    def _end_flow(self, effect: todo.EndFlow) -> None:
+        self.flows.end(effect.flow)
+
+    @_executes(todo.SendPeer)
+    def _send_peer(self, effect: todo.SendPeer) -> None:
+        datagram = TunnelDatagram(
+            TunnelKind.PEER,
+            self.agent.service.number,
+            self.node.generation,
+            0,
+            False,
+            NO_ADDRESS,
+            NO_ADDRESS,
+            peers.encode(self.agent.name, effect.message),
+        )
+        self._forward(effect.peer, datagram)
+
+    # Datagrams out
+
+    def _forward(self, peer: str, datagram: TunnelDatagram) -> None:
+        member = self.agent.core.roster.by_name.get(peer)
+        if member is None:
+            self._drop(Code.NO_AGENT)
+            return
+        datagram = datagram._replace(generation=self.node.generation)
+        self.node.send_tunnel(member.tunnel, datagram)
+
+    def _to_caller(self, caller: Address, entry: Address, payload: bytes) -> None:
+        datagram = TunnelDatagram(
+            TunnelKind.TO_CALLER,
+            self.agent.service.number,
+            self.node.generation,
+            0,
+            False,
+            caller,
+            NO_ADDRESS,
+            payload,
+        )
+        self.node.send_tunnel(entry, datagram)
+
+    def _answer_flow(
+        self, flow: bytes, caller: Address, entry: Address, payload: bytes
+    ) -> None:
+        self.agent.core.flows.answered(self.node.now(), flow)
+        self._to_caller(caller, entry, payload)
+
+    def _peer_at(self, source: Address) -> str:
+        for member in self.agent.core.roster.by_name.values():
+            if member.tunnel == source:
+                return member.name
+        return ""
+
+    def _drop(self, code: Code) -> None:
+        self.node.count("agent.dropped", code=code.name)
