Learn configuration and rosters from the store or from other daemons

A daemon had no way to learn what is in force. It now follows the store's watch or a parent's Subscribe stream, keeps values by digest, serves subscribers, and never takes a lower generation.

--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
@@ -0,0 +1,310 @@
+"""What a daemon knows of the configuration and the rosters, and from whom.
+
+A daemon learns from its parents, or from the store if it has none or none
+answers. What it learned is served to daemons that subscribe here. Whatever
+the source, a lower generation or revision is never taken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import ssl
+import time
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from grpclib.server import Stream
+from zinniahook_core import rendezvous
+from zinniahook_core.codes import ZinniahookError
+from zinniahook_core.effects import WriteRoster
+from zinniahook_core.events import RosterWritten
+from zinniahook_core.models import Configuration, Roster
+from zinniahook_wire import documents
+from zinniahook_wire.control_pb2 import SubscribeRequest, Update
+
+from .generations import Generations
+from .origin import Origin
+from .parents import Parent
+from .settings import Role
+from .sources import Source, SourceError
+from .subscriptions import Subscription
+
+if TYPE_CHECKING:
+    from .node import Node
+
+__all__ = ["Distribution"]
+
+TOLERANCE = 10.0
+"""Seconds that a parent may be cut off from the store before others are tried."""
+
+TOLERANCE_LIMIT = 320.0
+"""Most seconds of it. With the store down every parent is cut off, and changing
+between them again and again would be of no use to anyone."""
+
+BACKOFF = 0.2
+BACKOFF_LIMIT = 3.0
+"""Seconds between two rounds over all sources, doubled after each."""
+
+RETURN = 30.0
+"""Seconds after which a daemon that fell back to the store tries its parents."""
+
+SUSPICION_INTERVAL = 2.0
+"""Seconds between two suspicions taken up; each costs the source a call."""
+
+
+class Distribution:
+    """Learns, keeps and passes on configuration and rosters.
+
+    Parameters
+    ----------
+    node : Node
+        The daemon.
+
+    Attributes
+    ----------
+    configuration : Configuration or None
+        The generation in force here.
+    rosters_by_service : dict of str to Roster
+        The newest roster known of each service that matters here.
+    generations : Generations
+        The values that the configuration was made from.
+    learned : asyncio.Event
+        Set once a configuration is in force.
+    suspicion : asyncio.Event
+        Set while another daemon is known to have a newer generation.
+    tolerance : float
+        Seconds that a source may be cut off from the store.
+    depth : int
+        Steps between this daemon and the store.
+    """
+
+    def __init__(self, node: Node) -> None:
+        settings = node.settings
+        agent = settings.agent if settings.role is Role.AGENT else None
+        services = frozenset({agent.service}) if agent else None
+        self._node = node
+        self.name = settings.name
+        self.configuration: Configuration | None = None
+        self.rosters_by_service: dict[str, Roster] = {}
+        self.generations = Generations(settings.name, settings.data_centre, services)
+        self.learned = asyncio.Event()
+        self.suspicion = asyncio.Event()
+        self.tolerance = TOLERANCE
+        self.depth = 0
+        self.origin = Origin(self, node.store)
+        self._heard_at = -float("inf")
+        self._in_force_at = 0.0
+        self._suspected_at = -float("inf")
+        self._failures_by_source: dict[str, str] = {}
+        self._subscriptions: set[Subscription] = set()
+        self._task: asyncio.Task | None = None
+
+    # What is known
+
+    @property
+    def age(self) -> float:
+        """Seconds since the store was last heard of; infinite if never."""
+        return time.monotonic() - self._heard_at
+
+    @property
+    def lagging(self) -> bool:
+        """Whether what is known may be out of date."""
+        return self.age > TOLERANCE or self._node.generation != self.generations.wanted
+
+    @property
+    def in_force(self) -> float:
+        """Seconds since the generation in force was put so."""
+        return time.monotonic() - self._in_force_at if self.configuration else 0.0
+
+    @property
+    def subscribers(self) -> list[str]:
+        """Names of the daemons that learn from this one."""
+        return sorted(each.subscriber for each in self._subscriptions)
+
+    @property
+    def client_context(self) -> ssl.SSLContext:
+        """TLS context for calls to parents."""
+        return self._node.certificates.client
+
+    def wants(self, service: str) -> bool:
+        """Whether the roster of a service matters here."""
+        services = self.generations.services
+        return services is None or service in services
+
+    def rosters_digest(self, services: frozenset[str] | None) -> bytes:
+        """Return the digest of the revisions of these services' rosters."""
+        return documents.revisions_digest(
+            {
+                name: roster.revision
+                for name, roster in self.rosters_by_service.items()
+                if services is None or name in services
+            }
+        )
+
+    # What sources tell
+
+    def heard(self, age: float, depth: int) -> None:
+        """Note that the store was heard of ``age`` seconds ago."""
+        self._heard_at = max(self._heard_at, time.monotonic() - age)
+        self.depth = depth
+        self.tolerance = TOLERANCE
+
+    def apply(self) -> None:
+        """Put the wanted generation in force if it is whole and newer.
+
+        Raises
+        ------
+        ZinniahookError
+            If a value of it can't be read.
+        """
+        generations = self.generations
+        if generations.wanted > self._node.generation:
+            configuration = generations.compile()
+            if configuration is None:
+                return
+            self.configuration = configuration
+            self._in_force_at = time.monotonic()
+            self._node.configuration_changed(configuration)
+            self.learned.set()
+        self.suspicion.clear()
+        for subscription in self._subscriptions:
+            subscription.changed()
+
+    def take_roster(self, roster: Roster) -> None:
+        """Take a roster if it is newer than the one known."""
+        known = self.rosters_by_service.get(roster.service)
+        if not self.wants(roster.service) or (
+            known is not None and known.revision >= roster.revision
+        ):
+            return
+        self.rosters_by_service[roster.service] = roster
+        self._node.roster_changed(roster)
+        for subscription in self._subscriptions:
+            subscription.roster_changed(roster.service)
+
+    def unusable(self, what: str, error: ZinniahookError) -> None:
+        """Note a stored value that couldn't be read."""
+        self._node.count("distribution.unusable", code=error.code.name)
+        self._node.log("value-unusable", value=what, reason=str(error))
+
+    def suspect(self, generation: int) -> None:
+        """Note that another daemon has this generation in force.
+
+        An update may have been lost on its way here, or the source lags; the
+        sender is authenticated, so its generation exists.
+        """
+        now = time.monotonic()
+        if generation <= self.generations.pointer.generation:
+            return
+        if now - self._suspected_at < SUSPICION_INTERVAL:
+            return
+        self._suspected_at = now
+        self._node.count("distribution.suspected")
+        self.suspicion.set()
+
+    # Learning
+
+    def start(self) -> None:
+        """Start to learn."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop to learn; subscribers are cut off with the control server."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
+    async def _run(self) -> None:
+        pause = BACKOFF
+        while True:
+            before = self._heard_at
+            for source in self._sources():
+                await self._follow(source)
+            if self._heard_at > before:
+                pause = BACKOFF
+            else:
+                self.tolerance = min(TOLERANCE_LIMIT, self.tolerance * 2)
+            # Jitter: all that lost the same parent would come back at once.
+            await asyncio.sleep(pause * random.uniform(0.5, 1.5))
+            pause = min(BACKOFF_LIMIT, pause * 2)
+
+    def _sources(self) -> Iterator[Source]:
+        """Yield the sources in the order in which they are to be tried."""
+        by_name = {
+            str(address): address for address in self._node.settings.control.parents
+        }
+        own = str(self._node.control_address)
+        for name in rendezvous.rank(self.name.encode(), by_name):
+            if name != own:
+                yield Parent(self, by_name[name])
+        yield self.origin
+
+    async def _follow(self, source: Source) -> None:
+        """Learn from a source until it fails."""
+        limit = RETURN if self._has_parents() and source is self.origin else None
+        self.suspicion.clear()
+        reason = "time to try the parents again"
+        try:
+            async with asyncio.timeout(limit):
+                await source.follow()
+        except SourceError as error:
+            reason = str(error)
+        except TimeoutError:
+            pass
+        except Exception as error:
+            # A fault of ours in taking what a source told would end all
+            # learning without a word; the daemon would keep an old generation
+            # for ever. Other sources may tell it in a way that works.
+            reason = f"{type(error).__name__}: {error}"
+            self._node.count("distribution.source_failed")
+        self._node.count("distribution.source_left")
+        if self._failures_by_source.get(source.name) != reason:
+            self._failures_by_source[source.name] = reason
+            self._node.log("source-left", source=source.name, reason=reason)
+
+    def following(self, source: Source) -> None:
+        """Note that a source answered."""
+        if self._failures_by_source.pop(source.name, None) is not None:
+            self._node.log("source-back", source=source.name)
+
+    def _has_parents(self) -> bool:
+        return bool(self._node.settings.control.parents)
+
+    # Serving
+
+    async def serve(
+        self, request: SubscribeRequest, stream: Stream[SubscribeRequest, Update]
+    ) -> None:
+        """Push to a subscriber until it is gone."""
+        subscription = Subscription(self, request, stream)
+        self._subscriptions.add(subscription)
+        try:
+            await subscription.run()
+        except TimeoutError:
+            self._node.count("distribution.subscriber_slow")
+        finally:
+            self._subscriptions.discard(subscription)
+
+    # Rosters in the store
+
+    async def write_roster(self, effect: WriteRoster) -> RosterWritten:
+        """Compare-and-swap a roster; never raises for what the store does."""
+        written = await self.origin.write_roster(effect)
+        if written.roster is not None:
+            self.take_roster(written.roster)
+        self._node.count("roster.written", code=written.code.name)
+        return written
+
+    async def read_roster(self, service: str) -> Roster | None:
+        """Read a roster from the store; None if the store doesn't answer."""
+        try:
+            roster = await self.origin.read_roster(service)
+        except ZinniahookError:
+            return None
+        if roster.revision:
+            self.take_roster(roster)
+        return roster
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/generations.py
@@ -0,0 +1,225 @@
+"""The configuration values that a daemon holds, and what they add up to."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from zinniahook_core import configuration as model
+from zinniahook_core.models import Configuration, Service
+from zinniahook_wire import documents
+from zinniahook_wire.documents import Manifest, Pointer
+
+__all__ = ["Generations", "StoredGeneration"]
+
+NO_POINTER = Pointer(0, "")
+
+
+class StoredGeneration(NamedTuple):
+    """A manifest with its value as stored."""
+
+    manifest: Manifest
+    value: bytes
+
+    def digests(self, services: frozenset[str] | None) -> list[str]:
+        """Return the digests of the values that it needs.
+
+        Parameters
+        ----------
+        services : frozenset of str or None
+            Names of the services that matter; None for all.
+        """
+        manifest = self.manifest
+        chunks: Iterable[str] = manifest.chunks
+        if services is not None:
+            numbers = {documents.chunk_number(name) for name in services}
+            chunks = (manifest.chunks[number] for number in sorted(numbers))
+        return [manifest.keys, *filter(None, chunks)]
+
+
+class Generations:
+    """Values by digest, the generations they form, and the pointer.
+
+    A value is named by its content, so it is checked when it comes in,
+    whoever sent it, and never goes out of date. What no kept generation
+    names is dropped.
+
+    Parameters
+    ----------
+    name, data_centre : str
+        Of this daemon; they choose the generation during a staged rollout.
+    services : frozenset of str or None
+        The services that matter here; None for all.
+    """
+
+    def __init__(
+        self, name: str, data_centre: str, services: frozenset[str] | None
+    ) -> None:
+        self._name = name
+        self._data_centre = data_centre
+        self.services = services
+        self.pointer = NO_POINTER
+        self.pointer_value = b""
+        self._stored_by_generation: dict[int, StoredGeneration] = {}
+        self._values_by_digest: dict[str, bytes] = {}
+        self._services_by_digest: dict[str, dict[str, Service]] = {}
+
+    @property
+    def digests(self) -> list[str]:
+        """Digests of all values held."""
+        return list(self._values_by_digest)
+
+    @property
+    def wanted(self) -> int:
+        """The generation that is to be in force here; 0 for none."""
+        return documents.generation_for(self.pointer, self._name, self._data_centre)
+
+    def named(self) -> tuple[int, ...]:
+        """Return the generations that the pointer names, oldest first."""
+        pointer = self.pointer
+        return tuple(sorted(filter(None, {pointer.previous, pointer.generation})))
+
+    def point(self, value: bytes) -> bool:
+        """Take a pointer, unless it is older than the one held.
+
+        Returns
+        -------
+        bool
+            Whether it is new. One of a lower generation is from a source
+            that lags: taking it would take back an accepted change.
+
+        Raises
+        ------
+        DocumentError
+            If it isn't a pointer.
+        """
+        pointer = documents.pointer_from_json(value)
+        if pointer.generation < self.pointer.generation or pointer == self.pointer:
+            return False
+        same = pointer.generation == self.pointer.generation
+        # The stages of one rollout only widen; a narrower one is older.
+        if same and not _widens(self.pointer, pointer):
+            return False
+        self.pointer = pointer
+        self.pointer_value = value
+        return True
+
+    def stored(self, generation: int) -> StoredGeneration | None:
+        """Return a generation's manifest, if it is held."""
+        return self._stored_by_generation.get(generation)
+
+    def add_manifest(self, value: bytes) -> StoredGeneration:
+        """Hold a manifest.
+
+        Raises
+        ------
+        DocumentError
+            If it isn't a manifest.
+        """
+        stored = StoredGeneration(documents.manifest_from_json(value), value)
+        return self._stored_by_generation.setdefault(stored.manifest.generation, stored)
+
+    def add_values(self, values_by_digest: Mapping[str, bytes]) -> None:
+        """Hold values, but those whose content has another digest.
+
+        Raises
+        ------
+        DocumentError
+            If one has another digest.
+        """
+        for digest, value in values_by_digest.items():
+            if documents.digest_of(value) != digest:
+                raise documents.DocumentError(f"value {digest}: has another digest")
+            # Kept for daemons that subscribe here; JSON shrinks to a sixth.
+            self._values_by_digest[digest] = zlib.compress(value)
+
+    def value(self, digest: str) -> bytes:
+        """Return a value that is held.
+
+        Raises
+        ------
+        KeyError
+            If it isn't.
+        """
+        return zlib.decompress(self._values_by_digest[digest])
+
+    def missing(self, generation: int) -> list[str] | None:
+        """Return the digests still missing, or None without the manifest."""
+        stored = self._stored_by_generation.get(generation)
+        if stored is None:
+            return None
+        return [
+            digest
+            for digest in stored.digests(self.services)
+            if digest not in self._values_by_digest
+        ]
+
+    def has_whole(self, generation: int, services: frozenset[str] | None) -> bool:
+        """Whether a subscriber that wants these services can be served."""
+        stored = self._stored_by_generation.get(generation)
+        return stored is not None and all(
+            digest in self._values_by_digest for digest in stored.digests(services)
+        )
+
+    def compile(self) -> Configuration | None:
+        """Return the generation that is to be in force here, if it is whole.
+
+        Raises
+        ------
+        ZinniahookError
+            If a value can't be read.
+        """
+        stored = self._stored_by_generation.get(self.wanted)
+        if stored is None or self.missing(self.wanted):
+            return None
+        keys, *chunks = stored.digests(self.services)
+        services: dict[str, Service] = {}
+        for digest in chunks:
+            services.update(self._decoded(digest))
+        if self.services is not None:
+            services = {
+                name: service
+                for name, service in services.items()
+                if name in self.services
+            }
+        self._forget(stored)
+        return model.compile(
+            model.Document(services_by_name=services),
+            stored.manifest.generation,
+            documents.keys_from_json(self.value(keys)),
+        )
+
+    def _decoded(self, digest: str) -> dict[str, Service]:
+        """Decode a chunk once; it is the dear part of a change."""
+        services = self._services_by_digest.get(digest)
+        if services is None:
+            services = documents.services_from_json(digest, self.value(digest))
+            self._services_by_digest[digest] = services
+        return services
+
+    def _forget(self, current: StoredGeneration) -> None:
+        """Drop generations that nothing names any more, and their values."""
+        kept = {*self.named(), current.manifest.generation}
+        for generation in set(self._stored_by_generation) - kept:
+            del self._stored_by_generation[generation]
+        named = {
+            digest
+            for stored in self._stored_by_generation.values()
+            for digest in stored.digests(None)
+        }
+        for digest in set(self._values_by_digest) - named:
+            del self._values_by_digest[digest]
+        for digest in set(self._services_by_digest) - named:
+            del self._services_by_digest[digest]
+
+
+def _widens(old: Pointer, new: Pointer) -> bool:
+    """Whether a pointer to the same generation is a later stage."""
+    if not new.previous:
+        return True
+    return (
+        bool(old.previous)
+        and set(old.instances) <= set(new.instances)
+        and set(old.data_centres) <= set(new.data_centres)
+    )
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
@@ -116,6 +116,7 @@
         await self.control.stop()
         if self._socket is not None:
             self._socket.close()
+        self.store.close()
         self.metrics.flush()
 
     async def ready(self) -> None:
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/origin.py
@@ -0,0 +1,201 @@
+"""Learning from the store itself, and writing rosters to it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import TYPE_CHECKING
+
+from zinniahook_core.codes import Code, ZinniahookError
+from zinniahook_core.effects import WriteRoster
+from zinniahook_core.events import RosterWritten
+from zinniahook_core.models import Roster
+from zinniahook_store import (
+    AnswerLost,
+    Change,
+    Conflict,
+    Item,
+    NotWritten,
+    Store,
+    Written,
+)
+from zinniahook_wire import documents
+
+from .sources import Source, SourceError
+
+if TYPE_CHECKING:
+    from .distribution import Distribution
+
+__all__ = ["Origin"]
+
+EVERYTHING = "/zinniahook/"
+"""Prefix of every key; an entry watches it with one watch."""
+
+HEARD_INTERVAL = 1.0
+"""Seconds between looks at when the watches last heard of the store."""
+
+
+class Origin(Source):
+    """The store as a source.
+
+    Parameters
+    ----------
+    distribution : Distribution
+        Where what is learned goes.
+    store : Store
+        The client.
+    """
+
+    name = "store"
+
+    def __init__(self, distribution: Distribution, store: Store) -> None:
+        self._distribution = distribution
+        self._store = store
+
+    async def follow(self) -> None:
+        """Learn from the store; ends only if it didn't answer at first.
+
+        Raises
+        ------
+        SourceError
+            If the store doesn't answer.
+        """
+        try:
+            await self._store.get(documents.POINTER_KEY)
+        except ZinniahookError as error:
+            raise SourceError(str(error)) from None
+        self._distribution.following(self)
+        async with asyncio.TaskGroup() as group:
+            watches = [self._store.watch(prefix) for prefix in self._prefixes()]
+            for watch in watches:
+                group.create_task(self._read(watch))
+            group.create_task(self._note_age(watches))
+
+    def _prefixes(self) -> list[str]:
+        """Return what to watch: for an agent little, for an entry all."""
+        services = self._distribution.generations.services
+        if services is None:
+            return [EVERYTHING]
+        return [documents.POINTER_KEY, *map(documents.roster_key, sorted(services))]
+
+    async def _note_age(self, watches: list) -> None:
+        while True:
+            heard = min(watch.heard for watch in watches)
+            self._distribution.heard(time.monotonic() - heard, depth=1)
+            await asyncio.sleep(HEARD_INTERVAL)
+
+    async def _read(self, watch) -> None:
+        async with contextlib.aclosing(watch):
+            async for change in watch:
+                try:
+                    await self._take(change)
+                except ZinniahookError as error:
+                    # One value that can't be read, or a read that failed:
+                    # what is in force stays so until the next change.
+                    self._distribution.unusable(change.key, error)
+
+    async def _take(self, change: Change) -> None:
+        key, value = change.key, change.value
+        generations = self._distribution.generations
+        if key.startswith(documents.ROSTER_PREFIX):
+            self._take_roster(change)
+        elif value is None:
+            return
+        elif key == documents.POINTER_KEY:
+            generations.point(value)
+            await self._complete()
+        elif key.startswith(documents.GENERATION_PREFIX):
+            generations.add_manifest(value)
+        elif key.startswith(documents.CONFIGURATION_PREFIX):
+            generations.add_values({key.rpartition("/")[2]: value})
+
+    def _take_roster(self, change: Change) -> None:
+        service = change.key.removeprefix(documents.ROSTER_PREFIX)
+        if not self._distribution.wants(service):
+            return
+        if change.value is None:
+            roster = Roster(service, change.revision, {})
+        else:
+            roster = documents.roster_from_json(service, change.revision, change.value)
+        self._distribution.take_roster(roster)
+
+    async def _complete(self) -> None:
+        """Read what the generations of the pointer still need."""
+        generations = self._distribution.generations
+        for generation in generations.named():
+            if generations.stored(generation) is None:
+                key = documents.generation_key(generation)
+                item = await self._store.get(key)
+                if item is None:
+                    reason = f"{key} is not stored"
+                    raise ZinniahookError(reason, Code.GENERATION_UNKNOWN)
+                generations.add_manifest(item.value)
+            await self._read_values(generations.missing(generation))
+        self._distribution.apply()
+
+    async def _read_values(self, digests: list[str]) -> None:
+        if not digests:
+            return
+        keys = [documents.chunk_key(digest) for digest in digests]
+        keys += [documents.keys_key(digest) for digest in digests]
+        found = await self._store.get_many(keys)
+        self._distribution.generations.add_values(
+            {key.rpartition("/")[2]: item.value for key, item in found.items()}
+        )
+
+    # Rosters
+
+    async def read_roster(self, service: str) -> Roster:
+        """Return a roster as stored, of revision 0 if there is none.
+
+        Raises
+        ------
+        ZinniahookError
+            If the store gives no answer or the value can't be read.
+        """
+        item = await self._store.get(documents.roster_key(service))
+        return _roster(service, item)
+
+    async def write_roster(self, effect: WriteRoster) -> RosterWritten:
+        """Compare-and-swap a roster, and settle a lost answer if possible."""
+        try:
+            return await self._write_roster(effect.operation, effect.roster)
+        except ZinniahookError as error:
+            # Nothing has been sent to be written: only the read failed, or
+            # the new value is too large.
+            return RosterWritten(effect.operation, error.code, None)
+
+    async def _write_roster(self, operation: str, roster: Roster) -> RosterWritten:
+        service = roster.service
+        key = documents.roster_key(service)
+        # The ids of earlier writes have to be handed on in the value, or
+        # their writers would take a lost answer for a write that failed.
+        item = await self._store.get(key)
+        stored = _roster(service, item)
+        if stored.revision != roster.revision:
+            return RosterWritten(operation, Code.CONFLICT, stored)
+        operations = documents.operations_of(item.value) if item else ()
+        value = documents.roster_to_json(roster, (*operations, operation))
+
+        def contains(data: bytes) -> bool:
+            return operation in documents.operations_of(data)
+
+        outcome = await self._store.swap(key, roster.revision, value, contains)
+        if isinstance(outcome, AnswerLost):
+            outcome = await self._store.settle(key, roster.revision, contains)
+        match outcome:
+            case Written(revision):
+                written = roster._replace(revision=revision)
+                return RosterWritten(operation, Code.OK, written)
+            case Conflict(current):
+                stored = _roster(service, current)
+                return RosterWritten(operation, Code.CONFLICT, stored)
+            case NotWritten(failure) | AnswerLost(failure):
+                return RosterWritten(operation, failure.code, None)
+
+
+def _roster(service: str, item: Item | None) -> Roster:
+    if item is None:
+        return Roster(service, 0, {})
+    return documents.roster_from_json(service, item.revision, item.value)
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
@@ -0,0 +1,190 @@
+"""Learning from another daemon by its Subscribe stream."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from typing import TYPE_CHECKING
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from zinniahook_core.codes import ZinniahookError
+from zinniahook_core.models import Address, Roster
+from zinniahook_wire import documents
+from zinniahook_wire.control_grpc import ControlStub
+from zinniahook_wire.control_pb2 import (
+    ConfigurationUpdate,
+    Digest,
+    RosterUpdate,
+    SubscribeRequest,
+)
+
+from .sources import Source, SourceError
+from .subscriptions import DIGEST_INTERVAL
+
+if TYPE_CHECKING:
+    from .distribution import Distribution
+
+__all__ = ["Parent"]
+
+SILENCE = 3 * DIGEST_INTERVAL
+"""Seconds without any update after which a parent is given up.
+
+Its process may be paused, or the path may drop packets without a word: TCP
+alone would tell after many minutes.
+"""
+
+GRACE = 1.0
+"""Seconds that a parent may lag behind what another daemon told of."""
+
+DEEPEST = 8
+"""Most steps to the store; a longer way is a loop of daemons."""
+
+DIFFERENCES = 3
+"""Digests in a row that may differ from what is known here."""
+
+FAILURES = (
+    GRPCError,
+    StreamTerminatedError,
+    ZinniahookError,
+    ssl.SSLError,
+    OSError,
+    TimeoutError,
+)
+
+
+class Parent(Source):
+    """A daemon to learn from.
+
+    Parameters
+    ----------
+    distribution : Distribution
+        Where what is learned goes.
+    address : Address
+        The parent's control address.
+    """
+
+    def __init__(self, distribution: Distribution, address: Address) -> None:
+        self._distribution = distribution
+        self.name = str(address)
+        self._address = address
+        self._differences = 0
+
+    async def follow(self) -> None:
+        """Learn until the parent fails or lags.
+
+        Raises
+        ------
+        SourceError
+            Why this parent is of no use now.
+        """
+        self._differences = 0
+        host, port = self._address
+        channel = Channel(host, port, ssl=self._distribution.client_context)
+        try:
+            await self._subscribe(channel)
+        except FAILURES as error:
+            raise SourceError(f"{type(error).__name__}: {error}") from None
+        finally:
+            channel.close()
+
+    async def _subscribe(self, channel: Channel) -> None:
+        method = ControlStub(channel).Subscribe
+        async with method.open() as stream:
+            async with asyncio.timeout(SILENCE):
+                await stream.send_message(self._request(), end=True)
+            while True:
+                update = await self._receive(stream)
+                if update is None:
+                    raise SourceError("the parent ended the stream")
+                kind = update.WhichOneof("update")
+                if kind == "configuration":
+                    self._take_configuration(update.configuration)
+                elif kind == "roster":
+                    self._take_roster(update.roster)
+                elif kind == "digest":
+                    self._check(update.digest)
+
+    async def _receive(self, stream):
+        """Wait for an update, but less long once the parent is suspected."""
+        suspicion = self._distribution.suspicion
+        receive = asyncio.ensure_future(stream.recv_message())
+        suspect = asyncio.ensure_future(suspicion.wait())
+        try:
+            done, _ = await asyncio.wait(
+                (receive, suspect),
+                timeout=SILENCE,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if receive not in done and suspect in done:
+                done, _ = await asyncio.wait((receive,), timeout=GRACE)
+                if not done:
+                    raise SourceError("others have a newer generation")
+            if receive not in done:
+                raise SourceError(f"silent for {SILENCE} s")
+            return receive.result()
+        finally:
+            receive.cancel()
+            suspect.cancel()
+
+    def _request(self) -> SubscribeRequest:
+        distribution = self._distribution
+        services = distribution.generations.services
+        revisions_by_service = dict.fromkeys(services or (), 0)
+        for name, roster in distribution.rosters_by_service.items():
+            revisions_by_service[name] = roster.revision
+        return SubscribeRequest(
+            subscriber=distribution.name,
+            generation=distribution.generations.pointer.generation,
+            digests=distribution.generations.digests,
+            revisions_by_service=revisions_by_service,
+            all_services=services is None,
+        )
+
+    def _take_configuration(self, update: ConfigurationUpdate) -> None:
+        distribution = self._distribution
+        generations = distribution.generations
+        generations.add_manifest(update.manifest)
+        generations.add_values(update.values_by_digest)
+        if update.last:
+            generations.point(update.pointer)
+            distribution.apply()
+
+    def _take_roster(self, update: RosterUpdate) -> None:
+        if update.value:
+            roster = documents.roster_from_json(
+                update.service, update.revision, update.value
+            )
+        else:
+            roster = Roster(update.service, update.revision, {})
+        self._distribution.take_roster(roster)
+
+    def _check(self, digest: Digest) -> None:
+        """Compare what the parent has with what came from it.
+
+        Raises
+        ------
+        SourceError
+            If the parent lags, or an update was lost on the way; a new
+            subscription brings what is missing.
+        """
+        distribution = self._distribution
+        generation = distribution.generations.pointer.generation
+        if digest.generation == 0:
+            raise SourceError("the parent has learned nothing yet")
+        if digest.depth >= DEEPEST:
+            raise SourceError(f"too far from the store: {digest.depth} steps")
+        if digest.age > distribution.tolerance:
+            raise SourceError(f"heard of the store {digest.age:.0f} s ago")
+        distribution.following(self)
+        distribution.heard(digest.age, digest.depth + 1)
+        services = distribution.generations.services
+        same = digest.rosters == distribution.rosters_digest(services)
+        if digest.generation == generation and same:
+            self._differences = 0
+            return
+        # One difference may be a change on its way, or a roster that this
+        # daemon wrote itself and the parent hasn't heard of yet.
+        self._differences += 1
+        if self._differences >= DIFFERENCES:
+            raise SourceError("lags, or an update was lost")
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/subscriptions.py
@@ -0,0 +1,191 @@
+"""Serving the daemons that learn from this one."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Stream
+from zinniahook_wire import documents
+from zinniahook_wire.control_pb2 import (
+    ConfigurationUpdate,
+    Digest,
+    RosterUpdate,
+    SubscribeRequest,
+    Update,
+)
+
+if TYPE_CHECKING:
+    from .distribution import Distribution
+
+__all__ = ["DIGEST_INTERVAL", "Subscription"]
+
+DIGEST_INTERVAL = 2.0
+"""Seconds between digests, by which a subscriber finds what it lost."""
+
+UPDATE_SIZE = 256 * 1024
+"""Bytes of values put into one update, about."""
+
+SEND_TIMEOUT = 10.0
+"""Seconds that a subscriber may take for one update.
+
+A subscriber that is paused or cut off without a word takes nothing more; it
+would be kept, with all that changes meanwhile, for as long as TCP tries.
+"""
+
+
+class Subscription:
+    """One subscriber and what it still has to be told.
+
+    What changes while an update is on its way is gathered in a set, so a slow
+    subscriber costs a bounded amount of memory and skips what is outdated.
+
+    Parameters
+    ----------
+    distribution : Distribution
+        What is known here.
+    request : SubscribeRequest
+        What the subscriber has and wants.
+    stream : Stream
+        Where to send.
+    """
+
+    def __init__(
+        self,
+        distribution: Distribution,
+        request: SubscribeRequest,
+        stream: Stream[SubscribeRequest, Update],
+    ) -> None:
+        self.subscriber = request.subscriber
+        self._distribution = distribution
+        self._stream = stream
+        self._services = (
+            None if request.all_services else frozenset(request.revisions_by_service)
+        )
+        self._revisions_by_service = dict(request.revisions_by_service)
+        self._digests = set(request.digests)
+        self._pointer = b""
+        self._changed = asyncio.Event()
+        self._changed_services: set[str] = set()
+
+    def changed(self) -> None:
+        """Note that the configuration changed."""
+        self._changed.set()
+
+    def roster_changed(self, service: str) -> None:
+        """Note that a roster changed."""
+        if self._wants(service):
+            self._changed_services.add(service)
+            self._changed.set()
+
+    async def run(self) -> None:
+        """Push until the subscriber is gone.
+
+        Raises
+        ------
+        GRPCError
+            If this daemon doesn't hold what the subscriber wants.
+        """
+        known = self._distribution.rosters_by_service
+        self._changed_services.update(filter(self._wants, known))
+        while True:
+            self._changed.clear()
+            await self._send_configuration()
+            await self._send_rosters()
+            await self._send(Update(digest=self._digest()))
+            try:
+                await asyncio.wait_for(self._changed.wait(), DIGEST_INTERVAL)
+            except TimeoutError:
+                continue
+
+    def _wants(self, service: str) -> bool:
+        return self._services is None or service in self._services
+
+    async def _send_configuration(self) -> None:
+        """Send the pointer and what its generations need."""
+        generations = self._distribution.generations
+        pointer = generations.pointer_value
+        if pointer == self._pointer:
+            return
+        # Before its pointer is sent, a generation must be whole here.
+        numbers = generations.named()
+        held = [generations.stored(number) for number in numbers]
+        if not all(held):
+            return
+        for stored in held:
+            number = stored.manifest.generation
+            if not generations.has_whole(number, self._services):
+                if generations.missing(number):
+                    return
+                raise GRPCError(
+                    Status.FAILED_PRECONDITION, "holds fewer services than wanted"
+                )
+            await self._send_generation(pointer, stored)
+        self._digests = {
+            digest for stored in held for digest in stored.digests(self._services)
+        }
+        self._pointer = pointer
+
+    async def _send_generation(self, pointer: bytes, stored) -> None:
+        """Send one generation in updates of a bounded size."""
+        generations = self._distribution.generations
+        wanted = stored.digests(self._services)
+        lacking = [digest for digest in wanted if digest not in self._digests]
+        values_by_digest: dict[str, bytes] = {}
+        size = 0
+        for digest in lacking:
+            try:
+                value = generations.value(digest)
+            except KeyError:
+                # A newer generation came while this one was being sent.
+                return
+            values_by_digest[digest] = value
+            size += len(value)
+            if size >= UPDATE_SIZE:
+                await self._send_values(pointer, stored.value, values_by_digest)
+                values_by_digest, size = {}, 0
+        await self._send_values(pointer, stored.value, values_by_digest, last=True)
+        self._digests.update(wanted)
+
+    async def _send_values(
+        self,
+        pointer: bytes,
+        manifest: bytes,
+        values_by_digest: dict[str, bytes],
+        last: bool = False,
+    ) -> None:
+        update = ConfigurationUpdate(
+            pointer=pointer,
+            manifest=manifest,
+            values_by_digest=values_by_digest,
+            last=last,
+        )
+        await self._send(Update(configuration=update))
+
+    async def _send_rosters(self) -> None:
+        while self._changed_services:
+            service = self._changed_services.pop()
+            roster = self._distribution.rosters_by_service[service]
+            if roster.revision <= self._revisions_by_service.get(service, 0):
+                continue
+            update = RosterUpdate(
+                service=service,
+                revision=roster.revision,
+                value=documents.roster_to_json(roster) if roster.by_name else b"",
+            )
+            await self._send(Update(roster=update))
+            self._revisions_by_service[service] = roster.revision
+
+    def _digest(self) -> Digest:
+        distribution = self._distribution
+        return Digest(
+            generation=distribution.generations.pointer.generation,
+            rosters=distribution.rosters_digest(self._services),
+            age=min(distribution.age, 1e9),
+            depth=distribution.depth,
+        )
+
+    async def _send(self, update: Update) -> None:
+        await asyncio.wait_for(self._stream.send_message(update), SEND_TIMEOUT)
