--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/relay.py
@@ -0,0 +1,61 @@
+"""A bare UDP relay in Python: the yardstick for one entry's packet rate.
+
+It does what any relay must (read in batches when the socket is ready, send
+each datagram on) and nothing else: no routing, no authentication.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+
+import defopt
+
+__all__ = ["main", "serve"]
+
+BATCH = 64
+LONGEST_DATAGRAM = 65535
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run the relay as a process."""
+    defopt.run(serve, argv=argv)
+
+
+def serve(sink: str) -> None:
+    """Relay every datagram to ``sink`` and print the ready line.
+
+    Parameters
+    ----------
+    sink : str
+        ``host:port`` of the receiver.
+    """
+    asyncio.run(_relay(sink))
+
+
+async def _relay(sink: str) -> None:
+    host, _, port = sink.rpartition(":")
+    to = (host, int(port))
+    inward = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    inward.setblocking(False)
+    inward.bind(("127.0.0.1", 0))
+    outward = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    outward.setblocking(False)
+
+    def readable() -> None:
+        for _ in range(BATCH):
+            try:
+                data, _ = inward.recvfrom(LONGEST_DATAGRAM)
+            except BlockingIOError:
+                return
+            outward.sendto(data, to)
+
+    asyncio.get_running_loop().add_reader(inward, readable)
+    address = f"127.0.0.1:{inward.getsockname()[1]}"
+    print(json.dumps({"ready": {"address": address}}), flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/slopes.py
@@ -0,0 +1,273 @@
+"""Slopes behind docs/CAPACITY.md: cost of control against what it grows with.
+
+Every slope is a linear fit over several sizes, measured on real cores in one
+process: memory by ``tracemalloc``, processor time by ``process_time``, bytes
+by encoding each message that a core wants sent.
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from zinniahook_core.agents import AgentCore
+from zinniahook_core.effects import SendPeer
+from zinniahook_core.entries import EntryCore
+from zinniahook_core.events import (
+    ConfigurationChanged,
+    FlowDatagram,
+    PeerDatagram,
+    RosterChanged,
+    Tick,
+)
+from zinniahook_core.messages import Heartbeat
+from zinniahook_core.models import (
+    Address,
+    AgentState,
+    Configuration,
+    Key,
+    Load,
+    Member,
+    Protocol,
+    RequestClass,
+    Roster,
+    Service,
+)
+from zinniahook_core.routing import ConnectionIds, Owner
+from zinniahook_wire import peers
+from zinniahook_wire.tunnels import Tunnel, TunnelDatagram, TunnelKind
+
+from .scenarios import Figure, scenario
+
+__all__ = ["AgentCost", "agent_cost", "configuration", "member", "roster"]
+
+IP_AND_UDP_HEADER = 28
+TICKS_PER_SECOND = 10
+NOWHERE = Address("0.0.0.0", 0)
+SECRET = b"k" * 32
+
+
+class AgentCost(NamedTuple):
+    """What control costs one agent: seconds and bytes are a second of time."""
+
+    processor: float
+    sent: float
+    messages: float
+
+
+def member(name: str, number: int, state: AgentState = AgentState.READY) -> Member:
+    """Make a member with addresses derived from ``number``."""
+    host = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}"
+    return Member(
+        name,
+        Address(host, 7000),
+        Address(host, 7001),
+        Address("127.0.0.1", 8080),
+        f"dc-{number % 4}",
+        1,
+        state,
+        4,
+    )
+
+
+def roster(service: str, size: int, first: int = 0, revision: int = 1) -> Roster:
+    """Make a roster of ``size`` ready members."""
+    names = [f"{service}-{index}" for index in range(size)]
+    by_name = {name: member(name, first + i) for i, name in enumerate(names)}
+    return Roster(service, revision, by_name)
+
+
+def configuration(
+    services: int, protocol: Protocol = Protocol.QUIC, generation: int = 1
+) -> Configuration:
+    """Make a configuration of ``services`` services with three classes each."""
+    by_name = {}
+    for number in range(1, services + 1):
+        name = f"service-{number}"
+        address = Address(f"10.200.{number >> 8}.{number & 255}", 443)
+        classes = {
+            kind: RequestClass(kind, f"/{kind}")
+            for kind in ("stream", "ticket", "export")
+        }
+        by_name[name] = Service(name, number, address, protocol, classes)
+    key = Key(1, SECRET)
+    return Configuration(generation, by_name, {1: key}, {1: key}, 1, 1)
+
+
+def agent_cost(peer_count: int, seconds: int = 20, seed: int = 1) -> AgentCost:
+    """Drive one agent among ``peer_count`` peers through ``seconds`` of control.
+
+    Each peer's heartbeat is decoded and handled once a second, as a daemon
+    would; what the core wants sent is encoded and put into a tunnel datagram.
+    """
+    service = "service-1"
+    members = roster(service, peer_count + 1)
+    own, *others = members.by_name.values()
+    core = AgentCore(own, service, random.Random(seed))
+    core.handle(0.0, ConfigurationChanged(configuration(1)))
+    core.handle(0.0, RosterChanged(members))
+    tunnel = Tunnel({1: Key(1, SECRET)}, 1)
+    sent = messages = 0
+    started = time.process_time()
+    for tick in range(seconds * TICKS_PER_SECOND):
+        now = tick / TICKS_PER_SECOND
+        effects = core.handle(now, Tick())
+        if tick % TICKS_PER_SECOND == 0:
+            for peer in others:
+                effects += _hear(core, now, peer, tick, tunnel)
+        for effect in effects:
+            if isinstance(effect, SendPeer):
+                sent += len(_sealed(tunnel, own.name, effect)) + IP_AND_UDP_HEADER
+                messages += 1
+    spent = time.process_time() - started
+    return AgentCost(spent / seconds, sent / seconds, messages / seconds)
+
+
+def _hear(
+    core: AgentCore, now: float, peer: Member, sequence: int, tunnel: Tunnel
+) -> list:
+    beat = Heartbeat(peer.incarnation, sequence, 1, Load(4, 1, 0, 2000, 500))
+    data = _sealed(tunnel, peer.name, SendPeer("", beat))
+    payload = tunnel.decode(data).payload
+    sender, message = peers.decode(payload)
+    return list(core.handle(now, PeerDatagram(sender, message)))
+
+
+def _sealed(tunnel: Tunnel, sender: str, effect: SendPeer) -> bytes:
+    payload = peers.encode(sender, effect.message)
+    return tunnel.encode(
+        TunnelDatagram(TunnelKind.PEER, 1, 1, 0, False, NOWHERE, NOWHERE, payload)
+    )
+
+
+def held(build: Callable[[], object]) -> int:
+    """Count the bytes that the result of ``build`` keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = build()
+    gc.collect()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return after - before
+
+
+def _slope(sizes: Sequence[int], values: Sequence[float]) -> tuple[float, float]:
+    fit = statistics.linear_regression(sizes, values)
+    return fit.slope, fit.intercept
+
+
+@scenario("agent-control")
+def measure_agent(peer_counts: Sequence[int], seconds: int = 20) -> list[Figure]:
+    """Fit processor time, bytes and messages of one agent against its peers."""
+    costs = [agent_cost(count, seconds) for count in peer_counts]
+    figures = []
+    for name, unit, values in (
+        ("processor", "s/s", [cost.processor for cost in costs]),
+        ("sent", "B/s", [cost.sent for cost in costs]),
+        ("messages", "1/s", [cost.messages for cost in costs]),
+    ):
+        slope, base = _slope(peer_counts, values)
+        figures.append(Figure(f"{name} per peer", slope, unit))
+        figures.append(Figure(f"{name} base", base, unit))
+        figures.append(Figure(f"{name} at {peer_counts[-1]} peers", values[-1], unit))
+    return figures
+
+
+def _entry(services: int, members_each: int) -> EntryCore:
+    core = EntryCore(random.Random(1))
+    core.handle(0.0, ConfigurationChanged(configuration(services)))
+    for number in range(1, services + 1):
+        value = roster(f"service-{number}", members_each, number * members_each)
+        core.handle(0.0, RosterChanged(value))
+    return core
+
+
+@scenario("entry-memory")
+def measure_entry_memory(
+    service_counts: Sequence[int],
+    members_each: int,
+    flow_counts: Sequence[int],
+    seed: int = 1,
+) -> list[Figure]:
+    """Fit an entry's memory against services, members and open flows."""
+    by_services = [
+        held(lambda count=count: _entry(count, members_each))
+        for count in service_counts
+    ]
+    with_none = [held(lambda count=count: _entry(count, 0)) for count in service_counts]
+    whole, base = _slope(service_counts, by_services)
+    bare, _ = _slope(service_counts, with_none)
+    flows = [_flow_growth(count, seed) for count in flow_counts]
+    per_flow, _ = _slope(flow_counts, flows)
+    return [
+        Figure("bytes per service", bare, "B"),
+        Figure("bytes per member", (whole - bare) / members_each, "B"),
+        Figure("bytes base", base, "B"),
+        Figure("bytes per open flow", per_flow, "B"),
+        Figure(f"growth at {flow_counts[-1]} flows", flows[-1], "B"),
+        Figure(f"growth at {flow_counts[0]} flows", flows[0], "B"),
+    ]
+
+
+def _flow_growth(count: int, seed: int) -> int:
+    """Bytes that an entry keeps after routing a packet of ``count`` flows."""
+    core = _entry(1, 8)
+    service = configuration(1).services_by_name["service-1"]
+    rng = random.Random(seed)
+    ids = ConnectionIds({1: Key(1, SECRET)}, 1, rng)
+    owner = Owner(service.number, Address("10.0.0.1", 7000), 1)
+    body = bytes(40)
+
+    def route() -> EntryCore:
+        for index in range(count):
+            caller = Address("10.9.9.9", 1024 + index % 60000)
+            packet = b"\x40" + ids.encode(owner) + body
+            core.route(index * 1e-4, service, caller, packet)
+        return core
+
+    return held(route)
+
+
+@scenario("agent-memory")
+def measure_agent_memory(
+    peer_counts: Sequence[int], flow_counts: Sequence[int], seed: int = 1
+) -> list[Figure]:
+    """Fit an agent core's memory against its peers and its plain UDP flows."""
+    by_peers = [held(lambda n=n: _agent(n, seed)) for n in peer_counts]
+    by_flows = [held(lambda n=n: _agent_with_flows(n, seed)) for n in flow_counts]
+    per_peer, base = _slope(peer_counts, by_peers)
+    per_flow, _ = _slope(flow_counts, by_flows)
+    return [
+        Figure("bytes per peer", per_peer, "B"),
+        Figure("bytes base", base, "B"),
+        Figure("bytes per UDP flow", per_flow, "B"),
+    ]
+
+
+def _agent(peer_count: int, seed: int) -> AgentCore:
+    service = "service-1"
+    members = roster(service, peer_count + 1)
+    own, *others = members.by_name.values()
+    core = AgentCore(own, service, random.Random(seed))
+    core.handle(0.0, ConfigurationChanged(configuration(1, Protocol.UDP)))
+    core.handle(0.0, RosterChanged(members))
+    for peer in others:
+        beat = Heartbeat(peer.incarnation, 1, 1, Load(4, 1, 0, 2000, 500))
+        core.handle(0.1, PeerDatagram(peer.name, beat))
+    return core
+
+
+def _agent_with_flows(count: int, seed: int) -> AgentCore:
+    core = _agent(0, seed)
+    entry = Address("10.0.0.9", 7000)
+    for index in range(count):
+        caller = Address(f"10.8.{index >> 16}.{index >> 8 & 255}", 1024 + index % 256)
+        core.handle(0.2, FlowDatagram("service-1", caller, entry, b"x" * 20))
+    return core
