Test HTTP/3 exchanges with an ordinary client

aioquic's plain client classes against the agent's connections and a tornado target: whole answers, back pressure both ways, cancellation, refusals.

--- /dev/null
+++ b/packages/zinniahook-daemon/tests/test_exchanges.py
@@ -0,0 +1,421 @@
+"""HTTP/3 with aioquic's plain client, HTTP/1.1 to a real tornado target."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import ssl
+
+import pytest
+import tornado.web
+from aioquic.asyncio.client import connect
+from aioquic.asyncio.protocol import QuicConnectionProtocol
+from aioquic.h3.connection import ErrorCode, FrameType, H3Connection, encode_frame
+from aioquic.h3.events import DataReceived, HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.events import StreamReset
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from zinniahook_core.codes import Code, Outcome, OutcomeKind
+from zinniahook_core.models import Address, RequestClass, Service
+from zinniahook_core.routing import destination_of
+from zinniahook_daemon.connections import Connections, make_configuration
+from zinniahook_daemon.exchanges import (
+    Answer,
+    answer_of,
+    classify,
+    decode_answer,
+    encode_answer,
+)
+from zinniahook_daemon.http3 import HIGH_WATER, Http3Session
+from zinniahook_daemon.sockets import UdpSocket
+from zinniahook_daemon.targets import Result, Target
+
+PATIENCE = 20.0
+LARGE = 24 * 1024 * 1024
+NOWHERE = Address("0.0.0.0", 0)
+
+
+@tornado.web.stream_request_body
+class Echo(tornado.web.RequestHandler):
+    """Notes what it gets; ``gate`` holds it back before it reads on."""
+
+    def initialize(self, seen: dict) -> None:
+        self.seen = seen
+        self.size = 0
+
+    async def data_received(self, chunk: bytes) -> None:
+        self.size += len(chunk)
+        self.seen["body"] = self.size
+        await self.seen["gate"].wait()
+
+    def on_connection_close(self) -> None:
+        self.seen["gone"].set()
+
+    def post(self) -> None:
+        self.seen["headers"] = self.request.headers
+        self.write({"size": self.size})
+
+    async def get(self) -> None:
+        self.seen["headers"] = self.request.headers
+        size = int(self.get_query_argument("size", "5"))
+        self.set_header("Content-Length", str(size))
+        self.set_header("Connection", "close")
+        for offset in range(0, size, 65536):
+            self.write(bytes(min(65536, size - offset)))
+            await self.flush()
+            self.seen["sent"] = offset
+        self.seen["whole"] = True
+
+    async def delete(self) -> None:
+        self.seen["deleting"].set()
+        await self.seen["gone"].wait()
+
+    def put(self) -> None:
+        self.set_status(503)
+        self.set_header("Retry-After", "0.25")
+        self.set_header("zinniahook-outcome", "not-run")
+
+
+class Owner:
+    """Runs each request at the target at once."""
+
+    def __init__(self, target: Target) -> None:
+        self.target = target
+        self.results: asyncio.Queue[Result] = asyncio.Queue()
+        self.codes: list[Code] = []
+        self.tasks_by_number: dict[int, asyncio.Task] = {}
+
+    def classify(self, path: str) -> str:
+        return ""
+
+    def arrived(self, exchange) -> None:
+        task = asyncio.ensure_future(self.run(exchange))
+        self.tasks_by_number[exchange.number] = task
+
+    async def run(self, exchange) -> None:
+        result = await self.target.run(exchange)
+        if result.outcome.kind is not OutcomeKind.DONE:
+            exchange.refuse(result.outcome)
+        self.results.put_nowait(result)
+
+    def cancelled(self, exchange) -> None:
+        self.tasks_by_number[exchange.number].cancel()
+
+    def refused(self, code: Code) -> None:
+        self.codes.append(code)
+
+
+class PlainClient(QuicConnectionProtocol):
+    """An ordinary HTTP/3 client: aioquic's classes and nothing of ours."""
+
+    def __init__(self, *args, **kwargs) -> None:
+        super().__init__(*args, **kwargs)
+        self.http = H3Connection(self._quic)
+        self.events: asyncio.Queue = asyncio.Queue()
+
+    def quic_event_received(self, event) -> None:
+        if isinstance(event, StreamReset):
+            self.events.put_nowait(event)
+        for http_event in self.http.handle_event(event):
+            self.events.put_nowait(http_event)
+
+    def ask(self, method: str, path: str, *headers, end: bool = True) -> int:
+        stream_id = self._quic.get_next_available_stream_id()
+        pairs = [
+            (b":method", method.encode()),
+            (b":scheme", b"https"),
+            (b":authority", b"localhost"),
+            (b":path", path.encode()),
+            *headers,
+        ]
+        self.http.send_headers(stream_id, pairs, end_stream=end)
+        self.transmit()
+        return stream_id
+
+    async def answer(self) -> tuple[dict[bytes, bytes], bytes]:
+        headers, body = {}, bytearray()
+        while True:
+            event = await asyncio.wait_for(self.events.get(), PATIENCE)
+            if isinstance(event, HeadersReceived):
+                headers = dict(event.headers)
+            elif isinstance(event, DataReceived):
+                body += event.data
+            if event.stream_ended:
+                return headers, bytes(body)
+
+
+class Bench:
+    """An agent's connections on a socket, and a target."""
+
+    def __init__(self, configuration: QuicConfiguration) -> None:
+        self.seen = {
+            "gate": asyncio.Event(),
+            "gone": asyncio.Event(),
+            "deleting": asyncio.Event(),
+            "sent": 0,
+        }
+        self.seen["gate"].set()
+        application = tornado.web.Application([("/.*", Echo, {"seen": self.seen})])
+        self.server = HTTPServer(application)
+        (listener,) = bind_sockets(0, "127.0.0.1")
+        self.server.add_socket(listener)
+        self.target = Target(Address(*listener.getsockname()))
+        self.owner = Owner(self.target)
+        self.socket = UdpSocket(Address("127.0.0.1", 0), self.receive)
+        numbers = itertools.count()
+        self.connections = Connections(
+            configuration,
+            lambda: next(numbers).to_bytes(17, "big"),
+            lambda connection, data, caller: self.socket.send(data, caller),
+            lambda connection: Http3Session(
+                connection, self.owner, self.connections.touch
+            ),
+            lambda connection: None,
+        )
+
+    def receive(self, datagram: bytes, source: tuple) -> None:
+        _, connection_id = destination_of(datagram)
+        connection = self.connections.by_id.get(connection_id)
+        if connection is None:
+            connection = self.connections.open(connection_id)
+        self.connections.receive(connection, datagram, Address(*source), NOWHERE)
+
+    def client(self):
+        configuration = QuicConfiguration(
+            alpn_protocols=["h3"], verify_mode=ssl.CERT_NONE
+        )
+        return connect(
+            *self.socket.address,
+            configuration=configuration,
+            create_protocol=PlainClient,
+        )
+
+    @property
+    def session(self) -> Http3Session:
+        (connection,) = self.connections
+        return connection.session
+
+
+@pytest.fixture
+def run(authority):
+    configuration = make_configuration(*authority.issue("service"))
+
+    def run(scenario) -> None:
+        async def main() -> None:
+            bench = Bench(configuration)
+            async with bench.client() as client:
+                await scenario(bench, client)
+            bench.socket.close()
+            bench.server.stop()
+
+        asyncio.run(main())
+
+    return run
+
+
+class TestPlainClient:
+    def test_get(self, run):
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            client.ask("GET", "/a?size=70000", (b"zinniahook-deadline", b"9.5"))
+            headers, body = await client.answer()
+            assert headers[b":status"] == b"200"
+            assert b"connection" not in headers
+            assert body == bytes(70000)
+            seen = bench.seen["headers"]
+            assert seen["Host"] == "localhost"
+            assert 0 < float(seen["zinniahook-deadline"]) <= 9.5
+
+        run(scenario)
+
+    def test_post(self, run):
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            stream_id = client.ask("POST", "/tickets", end=False)
+            for _ in range(3):
+                client.http.send_data(stream_id, bytes(1000), end_stream=False)
+            client.http.send_data(stream_id, b"", end_stream=True)
+            client.transmit()
+            headers, body = await client.answer()
+            assert (headers[b":status"], body) == (b"200", b'{"size": 3000}')
+
+        run(scenario)
+
+    def test_many_at_a_time(self, run):
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            for number in range(40):
+                client.ask("GET", f"/?size={number + 1}")
+            sizes = [len((await client.answer())[1]) for _ in range(40)]
+            assert sum(sizes) == sum(range(1, 41))
+
+        run(scenario)
+
+
+class TestBackPressure:
+    def test_a_slow_caller_stops_the_target(self, run):
+        """A caller stops reading in the middle of a large ledger.
+
+        Symptom: the agent's memory grows with the ledger. Sequence: the
+        caller grants no more credit, the target goes on writing.
+        Cause: nothing tells the target that the caller is behind.
+        """
+
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            client._quic._write_stream_limits = lambda *args, **kwargs: None
+            client.ask("GET", f"/?size={LARGE}")
+            while not bench.owner.tasks_by_number or not bench.session.waiting:
+                await asyncio.wait_for(client.events.get(), PATIENCE)
+                while not client.events.empty():
+                    client.events.get_nowait()
+                if bench.seen.get("whole"):
+                    break
+            assert not bench.seen.get("whole")
+            (exchange,) = bench.session.by_stream.values()
+            unsent = bench.session.connection.unsent(exchange.stream_id)
+            assert HIGH_WATER <= unsent < 2 * HIGH_WATER
+
+        run(scenario)
+
+    def test_a_slow_target_stops_the_caller(self, run):
+        """A target stops reading in the middle of an upload.
+
+        Symptom: the agent's memory grows with the body. Sequence: the target
+        takes one piece and waits, the caller has far more to send.
+        Cause: the stream's credit doesn't depend on what the target took.
+        """
+
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            bench.seen["gate"].clear()
+            stream_id = client.ask("POST", "/", end=False)
+            client.http.send_data(stream_id, bytes(LARGE), end_stream=True)
+            client.transmit()
+            sender = client._quic._streams[stream_id].sender
+            before = -1
+            while before != sender.highest_offset:
+                before = sender.highest_offset
+                await asyncio.wait_for(client.ping(), PATIENCE)
+            assert sender.highest_offset < LARGE // 2
+            unread = bench.session.connection.unread_by_stream[stream_id]
+            assert unread <= 256 * 1024
+            bench.seen["gate"].set()
+            _, body = await client.answer()
+            assert body == b'{"size": %d}' % LARGE
+
+        run(scenario)
+
+
+class TestCancellation:
+    @pytest.mark.parametrize("way", ["reset", "close"])
+    def test_reaches_the_target(self, run, way):
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            stream_id = client.ask("DELETE", "/", end=False)
+            await asyncio.wait_for(bench.seen["deleting"].wait(), PATIENCE)
+            if way == "reset":
+                client._quic.reset_stream(stream_id, ErrorCode.H3_REQUEST_CANCELLED)
+                client.transmit()
+            else:
+                client.close()
+            await asyncio.wait_for(bench.seen["gone"].wait(), PATIENCE)
+
+        run(scenario)
+
+
+class TestRefusals:
+    def test_a_target_that_sheds(self, run):
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            client.ask("PUT", "/")
+            headers, _ = await client.answer()
+            assert headers[b":status"] == b"503"
+            assert headers[b"zinniahook-outcome"] == b"not-run"
+            assert headers[b"zinniahook-retry-after"] == b"0.250"
+            result = bench.owner.results.get_nowait()
+            assert result.outcome.code is Code.TARGET_SHED
+            assert not result.started
+
+        run(scenario)
+
+    def test_a_header_without_end(self, run):
+        """A caller announces a header block of a gigabyte.
+
+        Symptom: the agent holds all that arrives of it. Sequence: a HEADERS
+        frame with a huge length, then bytes without end.
+        Cause: a frame is parsed only when it is whole.
+        """
+
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            stream_id = client._quic.get_next_available_stream_id()
+            frame = encode_frame(FrameType.HEADERS, bytes(1 << 20))
+            client._quic.send_stream_data(stream_id, frame[:30000])
+            client.transmit()
+            headers, _ = await client.answer()
+            assert headers[b":status"] == b"431"
+            assert bench.owner.codes == [Code.HEADER_TOO_LARGE]
+
+        run(scenario)
+
+    def test_a_key_that_is_too_long(self, run):
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            client.ask("POST", "/", (b"idempotency-key", bytes(200).hex().encode()))
+            headers, _ = await client.answer()
+            assert headers[b":status"] == b"400"
+            assert bench.owner.codes == [Code.KEY_TOO_LONG]
+
+        run(scenario)
+
+    def test_after_the_last_go_away(self, run):
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            client.ask("GET", "/")
+            await client.answer()
+            bench.session.go_away(final=False)
+            client.ask("GET", "/")
+            await client.answer()
+            bench.session.go_away(final=True)
+            client.ask("GET", "/")
+            event = await asyncio.wait_for(client.events.get(), PATIENCE)
+            assert isinstance(event, StreamReset)
+            assert event.error_code == ErrorCode.H3_REQUEST_REJECTED
+
+        run(scenario)
+
+
+class TestAnswers:
+    def test_round_trip(self):
+        rng = random.Random(1)
+        for size in (0, 1, 5000):
+            headers = ((b"a", rng.randbytes(9)), (b"b", b""))
+            answer = Answer(201, headers, rng.randbytes(size))
+            assert decode_answer(encode_answer(answer)) == answer
+
+    @pytest.mark.parametrize("data", [b"", b"\x00\x00\x00\x09abc", bytes(4), b"\xff"])
+    def test_something_else(self, data):
+        with pytest.raises(ValueError, match="not a kept answer"):
+            decode_answer(data)
+
+    @pytest.mark.parametrize(
+        ("outcome", "status"),
+        [
+            (Outcome(OutcomeKind.NOT_RUN, Code.QUEUE_FULL, 0.2), 503),
+            (Outcome(OutcomeKind.NOT_RUN, Code.RETRY_BUDGET_SPENT, 1.0), 429),
+            (Outcome(OutcomeKind.UNKNOWN, Code.ANSWER_LOST), 502),
+            (Outcome(OutcomeKind.IN_PROGRESS, Code.IN_PROGRESS, 1.0), 409),
+            (Outcome(OutcomeKind.CANCELLED_AFTER, Code.CANCELLED_AFTER), 499),
+        ],
+    )
+    def test_of_outcomes(self, outcome, status):
+        answer = answer_of(outcome)
+        headers = dict(answer.headers)
+        assert answer.status == status
+        assert headers[b"zinniahook-outcome"] == outcome.kind.value.encode()
+        assert (b"retry-after" in headers) == (outcome.retry_after > 0)
+
+
+class TestClasses:
+    def test_longest_prefix(self):
+        classes = {
+            "all": RequestClass("all", "/"),
+            "export": RequestClass("export", "/ledger"),
+        }
+        service = Service("s", 1, NOWHERE, classes_by_name=classes)
+        assert classify(service, "/ledger/today") == "export"
+        assert classify(service, "/tickets") == "all"
+        assert classify(Service("s", 1, NOWHERE), "/tickets") == ""
