--- a/packages/zinniahook-cli/src/zinniahook_cli/changes.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/changes.py
@@ -61,7 +61,7 @@
     for step in steps:
         table = _steps_by_type[type(step)](table, step)
     changed = configuration.from_table(table)
-    changed = _retire(changed, document)
+    changed = configuration.retire(changed, document)
     problems = configuration.validate(changed, document)
     if problems:
         raise ConfigurationError(problems)
@@ -111,13 +111,6 @@
     return any(fnmatch.fnmatchcase(name, item) for item in operator.services)
 
 
-def _retire(changed: Document, before: Document) -> Document:
-    gone = before.services_by_name.keys() - changed.services_by_name.keys()
-    numbers = {before.services_by_name[name].number for name in gone}
-    numbers.update(before.retired, changed.retired)
-    return changed._replace(retired=tuple(sorted(numbers)))
-
-
 @_step(Set)
 def _set(table: Table, step: Set) -> Table:
     setting = step.setting
--- a/packages/zinniahook-cli/src/zinniahook_cli/daemons.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/daemons.py
@@ -36,10 +36,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Silent:
-    """A daemon that gave no answer."""
+    """A daemon that gave no answer.
+
+    ``refused`` tells that nothing listens there any more, which a partition
+    or a paused process doesn't look like.
+    """
 
     control: Address
     reason: str
+    refused: bool = False
 
 
 class Survey(NamedTuple):
@@ -96,18 +101,11 @@
                 answers[control] = reply
         return Survey(answers, tuple(silent))
 
-    async def drain(self, control: Address, request: DrainRequest) -> DrainReply:
-        """Ask one daemon to drain, or how far its drain is.
-
-        Raises
-        ------
-        ZinniahookError
-            If the daemon gives no answer.
-        """
-        reply = await self._call(control, "Drain", request)
-        if isinstance(reply, Silent):
-            raise ZinniahookError(f"{control}: {reply.reason}", Code.UNKNOWN)
-        return reply
+    async def drain(
+        self, control: Address, request: DrainRequest
+    ) -> DrainReply | Silent:
+        """Ask one daemon to drain, or how far its drain is."""
+        return await self._call(control, "Drain", request)
 
     async def _status(
         self, control: Address, request: StatusRequest
@@ -122,6 +120,8 @@
                 )
             except GRPCError as error:
                 return Silent(control, _reason(error))
+            except ConnectionRefusedError:
+                return Silent(control, "connection refused", refused=True)
             except (OSError, StreamTerminatedError, TimeoutError) as error:
                 return Silent(control, str(error) or type(error).__name__)
 
--- /dev/null
+++ b/packages/zinniahook-cli/src/zinniahook_cli/drains.py
@@ -0,0 +1,244 @@
+"""Planned stops: of a target, an entry, a data centre, and of everything in turn."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+from zinniahook_core.codes import Code
+from zinniahook_core.models import Address, AgentState
+from zinniahook_wire.control_pb2 import DrainReply, DrainRequest
+
+from .answers import Answer, Status
+from .changes import unknown
+from .daemons import Silent
+from .fleets import Fleet, others_ready, read_fleet
+from .statements import Drain, Restart
+
+if TYPE_CHECKING:
+    from .sessions import Session
+
+__all__ = ["Stop", "drain", "emptied", "restart"]
+
+LOOK_EVERY = 0.5
+"""Seconds between two questions about the progress."""
+
+
+SERVING_STATES = ("ready", "serving")
+"""What agents and entries say of themselves when they take new work."""
+
+
+class Stop(NamedTuple):
+    """One daemon to be stopped; ``service`` is empty for an entry."""
+
+    name: str
+    control: Address
+    service: str = ""
+
+
+async def drain(session: Session, statement: Drain) -> Answer:
+    """Drain what the statement names and wait until it is safe."""
+    fleet = await read_fleet(session.store, session.daemons)
+    stops = _FINDERS_BY_KIND[statement.kind](fleet, statement)
+    refused = _refusal(fleet, stops, statement.force)
+    if refused is not None:
+        return refused
+    return await _drain_all(session, stops, statement.force)
+
+
+async def restart(session: Session, statement: Restart) -> Answer:
+    """Drain each daemon and wait until it is back before the next one."""
+    fleet = await read_fleet(session.store, session.daemons)
+    stops = [*_agents(fleet), *_entries(fleet)]
+    for number, stop in enumerate(stops, 1):
+        now = await read_fleet(session.store, session.daemons)
+        refused = _refusal(now, [stop], statement.force)
+        if refused is not None:
+            return _stopped_at(refused, stop, number, len(stops))
+        before = now.reply(stop.control)
+        session.say(f"{number} of {len(stops)}: {stop.name}")
+        answer = await _drain_all(session, [stop], statement.force)
+        if answer.status is Status.OK:
+            answer = await _until_back(session, stop, before)
+        if answer.status is not Status.OK:
+            return _stopped_at(answer, stop, number, len(stops))
+    return Answer(f"restarted {len(stops)} daemons", facts={"restarted": len(stops)})
+
+
+def emptied(fleet: Fleet, stops: list[Stop]) -> list[str]:
+    """Return the services that the stops would leave without a ready target."""
+    leaving = {stop.name for stop in stops}
+    affected = {stop.service for stop in stops if stop.service}
+    return sorted(
+        service
+        for service in affected
+        if not others_ready(fleet.rosters_by_service[service], leaving)
+    )
+
+
+def _refusal(fleet: Fleet, stops: list[Stop], force: bool) -> Answer | None:
+    if force:
+        return None
+    services = emptied(fleet, stops)
+    entries = {stop.name for stop in _entries(fleet)}
+    stopped = {stop.name for stop in stops if not stop.service}
+    if services:
+        reason = f"{', '.join(services)} would be left without targets"
+    elif stopped and entries <= stopped:
+        reason = "there would be no entry left"
+    else:
+        return None
+    code = Code.WOULD_EMPTY_SERVICE
+    return Answer(
+        f"refused: {reason}; `force` does it all the same ({code.name} {int(code)})",
+        facts={"outcome": "refused", "code": int(code), "reason": reason},
+        status=Status.REFUSED,
+    )
+
+
+async def _drain_all(session: Session, stops: list[Stop], force: bool) -> Answer:
+    """Ask every daemon at once and watch until each is safe."""
+    replies = await asyncio.gather(
+        *(
+            session.daemons.drain(stop.control, DrainRequest(force=force))
+            for stop in stops
+        )
+    )
+    for stop, reply in zip(stops, replies, strict=True):
+        if isinstance(reply, Silent):
+            return _answer_silent(stop, reply)
+        if reply.code:
+            return _answer_refused(stop, reply)
+    deadline = time.monotonic() + session.settings.patience
+    waiting = {stop.name: stop for stop in stops}
+    while waiting and time.monotonic() < deadline:
+        for stop in list(waiting.values()):
+            if await _is_safe(session, stop):
+                del waiting[stop.name]
+        if waiting:
+            await asyncio.sleep(LOOK_EVERY)
+    done = [stop.name for stop in stops if stop.name not in waiting]
+    facts = {"safe": done, "draining": list(waiting)}
+    if waiting:
+        text = f"still draining: {', '.join(waiting)}; safe: {', '.join(done) or '-'}"
+        return Answer(text, facts=facts, status=Status.UNFINISHED)
+    return Answer(f"safe to stop: {', '.join(done)}", facts=facts)
+
+
+async def _is_safe(session: Session, stop: Stop) -> bool:
+    """Tell whether nothing is in progress at a daemon that is draining.
+
+    A daemon that has drained ends, and then refuses connections. One that
+    gives no answer otherwise may still be at work: it counts as draining.
+    """
+    reply = await session.daemons.drain(stop.control, DrainRequest(look=True))
+    if isinstance(reply, Silent):
+        session.say(f"{stop.name}: {'ended' if reply.refused else reply.reason}")
+        return reply.refused
+    session.say(
+        f"{stop.name}: {reply.state}, {reply.flows} flows, "
+        f"{reply.requests} requests, {reply.left:.0f} s left"
+    )
+    return reply.safe
+
+
+async def _until_back(session: Session, stop: Stop, before) -> Answer:
+    """Wait until the daemon is ready again in a newer life."""
+    deadline = time.monotonic() + session.settings.patience
+    started = time.monotonic()
+    while time.monotonic() < deadline:
+        fleet = await read_fleet(session.store, session.daemons)
+        for reply in fleet.survey.answers_by_control.values():
+            newer = reply.uptime < time.monotonic() - started + LOOK_EVERY
+            if before is not None:
+                newer = reply.incarnation > before.incarnation or newer
+            if reply.name == stop.name and reply.state in SERVING_STATES and newer:
+                return Answer(f"{stop.name}: back")
+        await asyncio.sleep(LOOK_EVERY)
+    return Answer(f"{stop.name} did not come back", status=Status.UNFINISHED)
+
+
+def _agents(fleet: Fleet) -> list[Stop]:
+    return [
+        Stop(member.name, member.control, service)
+        for service, member in fleet.agents
+        if member.state is AgentState.READY
+    ]
+
+
+def _entries(fleet: Fleet) -> list[Stop]:
+    return [
+        Stop(reply.name, control)
+        for control, reply in sorted(fleet.survey.answers_by_control.items())
+        if reply.role == "entry"
+    ]
+
+
+def _find_target(fleet: Fleet, statement: Drain) -> list[Stop]:
+    name = statement.name.text
+    found = [
+        Stop(member.name, member.control, service)
+        for service, member in fleet.agents
+        if name in (member.name, str(member.target))
+    ]
+    if not found:
+        names = [str(member.target) for _, member in fleet.agents]
+        names += [member.name for _, member in fleet.agents]
+        raise unknown(statement.name, "target", names)
+    return found
+
+
+def _find_entry(fleet: Fleet, statement: Drain) -> list[Stop]:
+    entries = _entries(fleet)
+    found = [stop for stop in entries if stop.name == statement.name.text]
+    if not found:
+        raise unknown(statement.name, "entry", [stop.name for stop in entries])
+    return found
+
+
+def _find_data_centre(fleet: Fleet, statement: Drain) -> list[Stop]:
+    wanted = statement.name.text
+    members = {member.name: member for _, member in fleet.agents}
+    agents = [
+        stop for stop in _agents(fleet) if members[stop.name].data_centre == wanted
+    ]
+    entries = [
+        stop
+        for stop in _entries(fleet)
+        if fleet.reply(stop.control).data_centre == wanted
+    ]
+    if not agents and not entries:
+        names = {member.data_centre for member in members.values()}
+        names |= {one.data_centre for one in fleet.survey.answers_by_control.values()}
+        raise unknown(statement.name, "data centre", sorted(names))
+    return agents + entries
+
+
+_FINDERS_BY_KIND = {
+    "target": _find_target,
+    "entry": _find_entry,
+    "data centre": _find_data_centre,
+}
+
+
+def _answer_refused(stop: Stop, reply: DrainReply) -> Answer:
+    return Answer(
+        f"refused: {stop.name}: {reply.reason} (code {reply.code})",
+        facts={"outcome": "refused", "code": reply.code, "reason": reply.reason},
+        status=Status.REFUSED,
+    )
+
+
+def _answer_silent(stop: Stop, silent: Silent) -> Answer:
+    return Answer(
+        f"unknown: {stop.name} gave no answer ({silent.reason}); "
+        "`show daemons` tells whether it drains",
+        facts={"outcome": "unknown", "reason": silent.reason},
+        status=Status.UNKNOWN,
+    )
+
+
+def _stopped_at(answer: Answer, stop: Stop, number: int, total: int) -> Answer:
+    text = f"stopped at {stop.name} ({number} of {total}): {answer.text}"
+    return Answer(text, facts=answer.facts, status=answer.status)
--- /dev/null
+++ b/packages/zinniahook-cli/src/zinniahook_cli/fleets.py
@@ -0,0 +1,120 @@
+"""The daemons there are: from rosters, the store's lists and their own answers."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from zinniahook_core.models import Address, AgentState, Member, Roster
+from zinniahook_store import Store
+from zinniahook_wire import documents
+from zinniahook_wire.control_pb2 import StatusReply
+from zinniahook_wire.documents import Daemon
+
+from .daemons import Daemons, Survey
+
+__all__ = ["Agent", "Fleet", "others_ready", "read_fleet", "read_rosters"]
+
+
+class Agent(NamedTuple):
+    """A member of a roster with the service it serves."""
+
+    service: str
+    member: Member
+
+
+class Fleet(NamedTuple):
+    """Everything that is known of the daemons at one moment."""
+
+    rosters_by_service: dict[str, Roster]
+    daemons_by_name: dict[str, Daemon]
+    data_centres_by_name: dict[str, str]
+    survey: Survey
+
+    @property
+    def agents(self) -> tuple[Agent, ...]:
+        """All members of all rosters."""
+        return tuple(
+            Agent(service, member)
+            for service, roster in sorted(self.rosters_by_service.items())
+            for _, member in sorted(roster.by_name.items())
+        )
+
+    def reply(self, control: Address) -> StatusReply | None:
+        """Return what the daemon at ``control`` answered."""
+        return self.survey.answers_by_control.get(control)
+
+
+async def read_rosters(store: Store) -> dict[str, Roster]:
+    """Read every roster.
+
+    Raises
+    ------
+    ZinniahookError
+        If the store gives no answer.
+    """
+    rosters = {}
+    for item in await store.range(documents.ROSTER_PREFIX):
+        service = item.key.removeprefix(documents.ROSTER_PREFIX)
+        rosters[service] = documents.roster_from_json(
+            service, item.revision, item.value
+        )
+    return rosters
+
+
+async def read_fleet(
+    store: Store, daemons: Daemons, *, counters: bool = False, ask: bool = True
+) -> Fleet:
+    """Read who there should be, and ask each of them unless ``ask`` is false.
+
+    Raises
+    ------
+    ZinniahookError
+        If the store gives no answer.
+    """
+    rosters = await read_rosters(store)
+    daemons_by_name: dict[str, Daemon] = {}
+    data_centres = {}
+    for item in await store.range(documents.DAEMONS_PREFIX):
+        found = documents.daemons_from_json(item.value)
+        daemons_by_name.update(found)
+        centre = item.key.removeprefix(documents.DAEMONS_PREFIX)
+        data_centres.update(dict.fromkeys(found, centre))
+    controls = [
+        member.control
+        for roster in rosters.values()
+        for member in roster.by_name.values()
+        if member.state is not AgentState.DOWN
+    ]
+    controls += [daemon.control for daemon in daemons_by_name.values()]
+    survey = Survey({}, ())
+    if ask:
+        survey = await daemons.survey(controls, counters=counters)
+        survey = await _ask_subscribers(daemons, survey, counters)
+    return Fleet(rosters, daemons_by_name, data_centres, survey)
+
+
+def others_ready(roster: Roster, leaving: set[str]) -> int:
+    """Count the ready members of a roster besides those ``leaving``."""
+    return sum(
+        member.state is AgentState.READY
+        for name, member in roster.by_name.items()
+        if name not in leaving
+    )
+
+
+async def _ask_subscribers(daemons: Daemons, survey: Survey, counters: bool) -> Survey:
+    """Ask the daemons that only others know of, until none is new."""
+    answers = dict(survey.answers_by_control)
+    silent = {one.control: one for one in survey.silent}
+    while True:
+        known = {
+            Address.parse(text)
+            for reply in answers.values()
+            for text in reply.subscribers
+        }
+        new = known - answers.keys() - silent.keys()
+        if not new:
+            return Survey(answers, tuple(silent.values()))
+        more = await daemons.survey(new, counters=counters)
+        answers.update(more.answers_by_control)
+        silent.update({one.control: one for one in more.silent})
--- /dev/null
+++ b/packages/zinniahook-cli/src/zinniahook_cli/main.py
@@ -0,0 +1,208 @@
+"""The command line of ``zinniahook``."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import defopt
+from zinniahook_core.codes import ZinniahookError
+from zinniahook_store import Store, configurations
+
+from . import grammar
+from .answers import Answer, Status, status_of
+from .grammar import CommandError
+from .sessions import Session
+from .settings import ClientSettings, SettingsError, load
+from .statements import Abort, Begin, Commit, Statement
+
+__all__ = ["main", "zinniahook"]
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run ``zinniahook`` with the arguments of the process."""
+    sys.exit(defopt.run(zinniahook, argv=argv))
+
+
+def zinniahook(
+    *words: str,
+    settings: Path | None = None,
+    store: str = "",
+    certificate: Path | None = None,
+    key: Path | None = None,
+    authority: Path | None = None,
+    file: Path | None = None,
+    json: bool = False,
+    wait: bool = False,
+    base: int | None = None,
+    patience: float | None = None,
+) -> int:
+    """Ask what is in force, and change it everywhere or not at all.
+
+    Without words and without a file, statements are read at a prompt.
+
+    Parameters
+    ----------
+    words
+        Statements, as in ``zinniahook show services``; see ``help``.
+    settings
+        TOML file with the settings of this client.
+    store
+        Addresses of the key-value service, separated by commas.
+    certificate
+        PEM file of the operator's certificate.
+    key
+        PEM file of its private key.
+    authority
+        PEM file of the authority that signs all certificates.
+    file
+        Read statements from this file; ``-`` is standard input.
+    json
+        Print one JSON object for each statement.
+    wait
+        After a commit, wait until it is in force everywhere.
+    base
+        Refuse changes unless this generation is in force.
+    patience
+        Seconds until a wait gives up.
+
+    Returns
+    -------
+    int
+        Status of the process, as listed by ``help``.
+    """
+    flags = {
+        "store": store.split(",") if store else None,
+        "certificate": certificate,
+        "key": key,
+        "authority": authority,
+        "patience": patience,
+    }
+    try:
+        loaded = load(settings, flags)
+        text = _text(words, file)
+    except ZinniahookError as error:
+        _complain(error, "", json)
+        return Status.USAGE
+    try:
+        return asyncio.run(_run(loaded, text, json, wait, base))
+    except KeyboardInterrupt:
+        return Status.UNKNOWN
+
+
+def _text(words: tuple[str, ...], file: Path | None) -> str | None:
+    """Return the statements to run, or None for the prompt."""
+    if words:
+        return " ".join(words)
+    if file is None:
+        return None
+    try:
+        return sys.stdin.read() if str(file) == "-" else file.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{file}: {error}") from None
+
+
+async def _run(
+    settings: ClientSettings,
+    text: str | None,
+    json: bool,
+    wait: bool,
+    base: int | None,
+) -> int:
+    store = Store(settings.store, settings.timeout)
+
+    def say(line: str) -> None:
+        print(line, file=sys.stderr, flush=True)
+
+    session = Session(settings, store, say, wait=wait, base=base)
+    if text is not None:
+        return await evaluate(session, text, json, whole=True)
+    from . import prompt
+
+    return await prompt.run(
+        lambda line: evaluate(session, line, json),
+        await _services(session),
+        lambda: session.draft is not None,
+    )
+
+
+async def evaluate(
+    session: Session, text: str, json: bool = False, whole: bool = False
+) -> int:
+    """Run a text of statements and print each answer.
+
+    Parameters
+    ----------
+    session
+        Where to run them.
+    text
+        The statements; none is run if one can't be understood.
+    json
+        Whether to print JSON.
+    whole
+        Whether the text must commit what it begins.
+
+    Returns
+    -------
+    int
+        The first status that isn't 0; the rest isn't run then.
+    """
+    try:
+        parsed = grammar.parse(text)
+        if whole:
+            _check_whole(parsed)
+        for statement in parsed:
+            answer = await session.run(statement)
+            _print(answer, json)
+            if answer.status is not Status.OK:
+                return answer.status
+    except ZinniahookError as error:
+        _complain(error, text, json)
+        if whole:
+            session.draft = None
+        return status_of(error.code)
+    return Status.OK
+
+
+def _check_whole(parsed: tuple[Statement, ...]) -> None:
+    """Refuse a text that would leave its change open: nobody could commit it."""
+    begun = None
+    for statement in parsed:
+        if isinstance(statement, Begin):
+            begun = statement
+        elif isinstance(statement, Commit | Abort):
+            begun = None
+    if begun is not None:
+        raise CommandError("this change is never committed", word=begun.word)
+
+
+async def _services(session: Session) -> list[str]:
+    try:
+        stored = await configurations.read(session.store)
+    except ZinniahookError:
+        return []
+    return list(stored.document.services_by_name)
+
+
+def _print(answer: Answer, json: bool) -> None:
+    print(answer.as_json() if json else answer.as_text(), flush=True)
+
+
+def _complain(error: ZinniahookError, source: str, json: bool) -> None:
+    if json:
+        facts = {"code": int(error.code), "reason": str(error)}
+        if isinstance(error, CommandError) and error.word is not None:
+            facts |= error.word._asdict()
+        status = status_of(error.code)
+        print(Answer(str(error), facts=facts, status=status).as_json(), flush=True)
+        return
+    if isinstance(error, CommandError):
+        print(error.pointed(source), file=sys.stderr)
+    else:
+        message = f"{error.code.name} {int(error.code)}: {error}"
+        print(message, file=sys.stderr)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/zinniahook-cli/src/zinniahook_cli/prompt.py
@@ -0,0 +1,93 @@
+"""The prompt: history in memory, completion of words, help."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterable
+
+from prompt_toolkit import PromptSession
+from prompt_toolkit.completion import CompleteEvent, Completer, Completion
+from prompt_toolkit.document import Document
+from prompt_toolkit.history import InMemoryHistory
+from zinniahook_core.schema import CLASS_FIELDS_BY_NAME, SERVICE_FIELDS_BY_NAME
+
+from .grammar import keywords
+from .syntax import SYNTAX_BY_NAME
+from .views import VIEWS_BY_NAME
+
+__all__ = ["Words", "run"]
+
+LEAVE = ("quit", "exit")
+
+
+class Words(Completer):
+    """Completes statements, views, names and settings.
+
+    Parameters
+    ----------
+    services : iterable of str
+        Names of services, as known when the prompt was opened.
+    """
+
+    def __init__(self, services: Iterable[str] = ()) -> None:
+        self.services = tuple(sorted(services))
+
+    def candidates(self, before: str) -> tuple[str, ...]:
+        """Return the words that may follow the text before the cursor's word."""
+        words = before.rpartition(";")[2].split()
+        if not words:
+            return (*SYNTAX_BY_NAME, *LEAVE)
+        if words == ["show"]:
+            return tuple(VIEWS_BY_NAME)
+        if words == ["help"]:
+            return (*SYNTAX_BY_NAME, *VIEWS_BY_NAME)
+        if words == ["set"]:
+            fields = (*SERVICE_FIELDS_BY_NAME, *CLASS_FIELDS_BY_NAME)
+            return tuple(f"{one}.{field}" for one in self.services for field in fields)
+        if words[-1] == "of":
+            return self.services
+        return tuple(sorted(keywords() - SYNTAX_BY_NAME.keys()))
+
+    def get_completions(
+        self, document: Document, complete_event: CompleteEvent
+    ) -> Iterable[Completion]:
+        """Complete the word before the cursor."""
+        word = document.get_word_before_cursor(WORD=True)
+        before = document.text_before_cursor.removesuffix(word)
+        for candidate in self.candidates(before):
+            if candidate.startswith(word):
+                yield Completion(candidate, -len(word))
+
+
+async def run(
+    evaluate: Callable[[str], Awaitable[int]],
+    services: Iterable[str],
+    pending: Callable[[], bool],
+) -> int:
+    """Read lines until the end of input; return the status of the last one.
+
+    Parameters
+    ----------
+    evaluate
+        Runs a text of statements, prints the answers, returns the status.
+    services
+        Names to complete.
+    pending
+        Whether a change is open, which the prompt shows.
+    """
+    # In memory: an instance keeps nothing on a disk.
+    session: PromptSession[str] = PromptSession(
+        history=InMemoryHistory(), completer=Words(services)
+    )
+    status = 0
+    while True:
+        try:
+            text = await session.prompt_async(
+                "zinniahook (change open)> " if pending() else "zinniahook> "
+            )
+        except KeyboardInterrupt:
+            continue
+        except EOFError:
+            return status
+        if text.strip() in LEAVE:
+            return status
+        status = await evaluate(text)
--- /dev/null
+++ b/packages/zinniahook-cli/src/zinniahook_cli/reports.py
@@ -0,0 +1,171 @@
+"""Draws histograms and the imbalance over time into a picture."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import defaultdict
+from pathlib import Path
+from statistics import fmean
+from typing import TYPE_CHECKING, NamedTuple
+
+from zinniahook_core.codes import Code
+from zinniahook_wire.control_pb2 import Histogram
+
+from .answers import Answer
+from .fleets import Fleet, read_fleet
+from .grammar import CommandError
+from .statements import Report
+from .tables import Table
+
+if TYPE_CHECKING:
+    from matplotlib.axes import Axes
+
+    from .sessions import Session
+
+__all__ = ["Sample", "draw", "imbalance", "merged", "report"]
+
+SECONDS = 10
+SECONDS_LIMIT = 3600
+SAMPLE_EVERY = 1.0
+LONGEST = 86_400 * 1_000_000
+DIGITS = 2
+MICROSECONDS = 1e6
+
+
+class Sample(NamedTuple):
+    """The imbalance of each service at one moment, in seconds from the start."""
+
+    moment: float
+    imbalance_by_service: dict[str, float]
+
+
+async def report(session: Session, statement: Report) -> Answer:
+    """Sample the daemons once a second, then draw."""
+    seconds = _seconds(statement)
+    started = time.monotonic()
+    samples = []
+    while True:
+        fleet = await read_fleet(session.store, session.daemons, counters=True)
+        samples.append(Sample(time.monotonic() - started, imbalance(fleet)))
+        if time.monotonic() - started >= seconds:
+            break
+        await asyncio.sleep(SAMPLE_EVERY)
+    histograms = [
+        histogram
+        for reply in fleet.survey.answers_by_control.values()
+        for histogram in reply.histograms
+    ]
+    values_by_key = merged(histograms)
+    try:
+        draw(Path(statement.file.text), values_by_key, samples)
+    except (OSError, ValueError) as error:
+        raise CommandError(
+            f"can't draw: {error}", Code.SETTINGS_UNREADABLE, statement.file
+        ) from None
+    return Answer(f"drawn to {statement.file}", _summary(values_by_key))
+
+
+def imbalance(fleet: Fleet) -> dict[str, float]:
+    """Return most over mean of the targets' busy shares, by service."""
+    shares_by_service: dict[str, list[float]] = defaultdict(list)
+    for service, member in fleet.agents:
+        reply = fleet.reply(member.control)
+        if reply is not None and reply.has_load:
+            shares_by_service[service].append(reply.busy / max(1, reply.slots))
+    return {
+        service: max(shares) / fmean(shares) if any(shares) else 1.0
+        for service, shares in shares_by_service.items()
+    }
+
+
+def merged(histograms: list[Histogram]) -> dict[tuple[str, str], object]:
+    """Add up the daemons' histograms by service and class."""
+    from hdrh.histogram import HdrHistogram
+
+    values_by_key: dict[tuple[str, str], HdrHistogram] = {}
+    for item in histograms:
+        key = (item.service, item.request_class)
+        if key not in values_by_key:
+            values_by_key[key] = HdrHistogram(1, LONGEST, DIGITS)
+        values_by_key[key].add(HdrHistogram.decode(item.encoded))
+    return values_by_key
+
+
+def draw(file: Path, values_by_key: dict, samples: list[Sample]) -> None:
+    """Draw both charts.
+
+    Raises
+    ------
+    OSError
+        If the file can't be written.
+    ValueError
+        If its ending names no format of pictures.
+    """
+    # Imported here: it takes longer than most statements do.
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(10, 8), layout="constrained")
+    upper, lower = figure.subplots(2, 1)
+    _draw_histograms(upper, values_by_key)
+    _draw_imbalance(lower, samples)
+    figure.savefig(file)
+
+
+def _draw_histograms(axes: Axes, values_by_key: dict) -> None:
+    for (service, kind), values in sorted(values_by_key.items()):
+        items = list(values.get_recorded_iterator())
+        if not items:
+            continue
+        times = [item.value_iterated_to / MICROSECONDS for item in items]
+        counts = [item.count_added_in_this_iter_step for item in items]
+        axes.step(times, counts, where="mid", label=f"{service} {kind}")
+    axes.set(title="Times by service and class", xlabel="seconds", ylabel="count")
+    axes.set_xscale("log")
+    _legend(axes)
+
+
+def _draw_imbalance(axes: Axes, samples: list[Sample]) -> None:
+    services = sorted({name for one in samples for name in one.imbalance_by_service})
+    for service in services:
+        points = [
+            (one.moment, one.imbalance_by_service[service])
+            for one in samples
+            if service in one.imbalance_by_service
+        ]
+        axes.plot(*zip(*points, strict=True), label=service)
+    axes.set(title="Imbalance of busy slots", xlabel="seconds", ylabel="most over mean")
+    axes.set_ylim(bottom=1.0)
+    _legend(axes)
+
+
+def _legend(axes: Axes) -> None:
+    if axes.get_legend_handles_labels()[0]:
+        axes.legend(fontsize="small")
+
+
+def _summary(values_by_key: dict) -> Table:
+    rows = tuple(
+        (
+            service,
+            kind,
+            values.get_total_count(),
+            values.get_value_at_percentile(50) / MICROSECONDS,
+            values.get_value_at_percentile(99) / MICROSECONDS,
+            values.get_max_value() / MICROSECONDS,
+        )
+        for (service, kind), values in sorted(values_by_key.items())
+    )
+    return Table(("service", "class", "count", "p50", "p99", "longest"), rows)
+
+
+def _seconds(statement: Report) -> int:
+    if statement.seconds is None:
+        return SECONDS
+    text = statement.seconds.text
+    if not text.isdecimal() or not 0 < int(text) <= SECONDS_LIMIT:
+        raise CommandError(
+            f"seconds are a whole number from 1 to {SECONDS_LIMIT}",
+            word=statement.seconds,
+        )
+    return int(text)
--- /dev/null
+++ b/packages/zinniahook-cli/src/zinniahook_cli/rotations.py
@@ -0,0 +1,192 @@
+"""Rotation of keys: accepted everywhere first, then used, then forgotten."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from typing import TYPE_CHECKING
+
+from zinniahook_core.codes import Code, ZinniahookError
+from zinniahook_core.configuration import KeyRing
+from zinniahook_core.models import Key
+from zinniahook_store import configurations
+from zinniahook_store.configurations import SECRET_SIZE, Committed, Stored
+
+from .answers import Answer, Status
+from .rollouts import until_everywhere
+from .statements import Rotate
+
+if TYPE_CHECKING:
+    from .sessions import Session
+
+__all__ = ["KEYS_KEPT", "OLD_KEY_AGE", "rotate", "with_new_keys", "without_old_keys"]
+
+KEYS_KEPT = 4
+"""Keys of a kind that stay accepted, the one in use among them."""
+
+OLD_KEY_AGE = 24 * 3600.0
+"""Seconds that a key stays accepted once it isn't used for new flows.
+
+Flows last for hours; dropped earlier, the key would take them along, which
+shows as drops under CONNECTION_ID_UNKNOWN at every entry at once.
+"""
+
+NUMBERS = 256
+"""Key ids: one byte in front of each connection id."""
+
+TRIES = 5
+"""Attempts against operators who commit other changes at the same time."""
+
+
+async def rotate(session: Session, statement: Rotate) -> Answer:
+    """Bring new keys into use, or go on with a rotation that was stopped."""
+    stored = await configurations.read(session.store)
+    if stored.keys is None:
+        raise ZinniahookError("there is no configuration yet", Code.GENERATION_UNKNOWN)
+    _check_permitted(session, stored)
+    if _waiting(stored.keys) is None:
+        await _check_age(session, stored, statement.force)
+        answer = await _step(session, with_new_keys)
+        if answer.status is not Status.OK:
+            return answer
+        session.say(f"new keys accepted: {answer.text}")
+    stored = await configurations.read(session.store)
+    accepted = await until_everywhere(session, stored.generation)
+    if accepted.status is not Status.OK and not statement.force:
+        # Used now, the key would make datagrams that the daemons which lag
+        # can't read, and their flows would break.
+        return Answer(
+            f"{accepted.text}\nnew keys aren't used yet; `rotate keys` goes on",
+            facts=accepted.facts,
+            status=Status.UNFINISHED,
+        )
+    answer = await _step(session, with_waiting_keys)
+    if answer.status is not Status.OK:
+        return answer
+    now = await configurations.read(session.store)
+    everywhere = await until_everywhere(session, now.generation)
+    return Answer(
+        f"new keys in use: {answer.text}\n{everywhere.text}",
+        facts={**(answer.facts or {}), **(everywhere.facts or {})},
+        status=everywhere.status,
+    )
+
+
+def with_new_keys(ring: KeyRing) -> KeyRing:
+    """Add a key of each kind that isn't in use yet, and drop the oldest."""
+    number = _next(ring)
+    return without_old_keys(
+        ring._replace(
+            flow_keys_by_number={**ring.flow_keys_by_number, number: _draw(number)},
+            tunnel_keys_by_number={**ring.tunnel_keys_by_number, number: _draw(number)},
+        )
+    )
+
+
+def with_waiting_keys(ring: KeyRing) -> KeyRing:
+    """Bring the keys that wait into use."""
+    number = _waiting(ring)
+    if number is None:
+        return ring
+    return ring._replace(flow_key=number, tunnel_key=number)
+
+
+def without_old_keys(ring: KeyRing) -> KeyRing:
+    """Keep the newest keys only, in the order in which they were added."""
+    numbers = _in_order(ring)[-KEYS_KEPT:]
+    return ring._replace(
+        flow_keys_by_number={
+            number: ring.flow_keys_by_number[number] for number in numbers
+        },
+        tunnel_keys_by_number={
+            number: ring.tunnel_keys_by_number[number] for number in numbers
+        },
+    )
+
+
+def _draw(number: int) -> Key:
+    return Key(number, secrets.token_bytes(SECRET_SIZE))
+
+
+def _next(ring: KeyRing) -> int:
+    return (_in_order(ring)[-1] + 1) % NUMBERS
+
+
+def _in_order(ring: KeyRing) -> list[int]:
+    """Return the key ids from the oldest to the newest.
+
+    Ids wrap around; the ring holds few, so the oldest follows the widest gap.
+    """
+    numbers = sorted(ring.flow_keys_by_number)
+    gaps = [
+        (number - numbers[place - 1]) % NUMBERS or NUMBERS
+        for place, number in enumerate(numbers)
+    ]
+    first = gaps.index(max(gaps))
+    return numbers[first:] + numbers[:first]
+
+
+def _waiting(ring: KeyRing) -> int | None:
+    newest = _in_order(ring)[-1]
+    return None if newest == ring.flow_key else newest
+
+
+def _check_permitted(session: Session, stored: Stored) -> None:
+    operators = stored.document.operators_by_name
+    operator = operators.get(session.operator)
+    if operators and not (operator and operator.keys):
+        reason = f"{session.operator} may not rotate keys"
+        raise ZinniahookError(reason, Code.NOT_PERMITTED)
+
+
+async def _check_age(session: Session, stored: Stored, force: bool) -> None:
+    """Refuse to drop a key that flows still alive may carry."""
+    ring = stored.keys
+    if force or len(ring.flow_keys_by_number) < KEYS_KEPT:
+        return
+    oldest_used_until = await _used_until(session, _in_order(ring)[0])
+    age = time.time() - oldest_used_until
+    if age < OLD_KEY_AGE:
+        raise ZinniahookError(
+            f"the oldest key was in use {age / 3600:.1f} h ago and flows may still "
+            f"carry it; wait until {OLD_KEY_AGE / 3600:.0f} h, or force",
+            Code.NOT_PERMITTED,
+        )
+
+
+async def _used_until(session: Session, number: int) -> float:
+    """Return when the key went out of use, as far as the history tells."""
+    used = [0.0]
+    rings: dict[str, KeyRing] = {}
+    later = time.time()
+    for manifest in await configurations.history(session.store):
+        if manifest.keys not in rings:
+            stored = await configurations.read(session.store, manifest.generation)
+            rings[manifest.keys] = stored.keys
+        if rings[manifest.keys].flow_key == number:
+            used.append(later)
+        later = manifest.time
+    return max(used)
+
+
+async def _step(session: Session, alter) -> Answer:
+    """Commit an altered ring, again if another operator came first."""
+    for _ in range(TRIES):
+        stored = await configurations.read(session.store)
+        operation = configurations.new_operation()
+        outcome = await configurations.commit(
+            session.store,
+            stored,
+            stored.document,
+            session.operator,
+            operation,
+            keys=alter(stored.keys),
+        )
+        if isinstance(outcome, Committed) or outcome_is_final(outcome):
+            break
+    return await session.told(stored, outcome, wait=False)
+
+
+def outcome_is_final(outcome: configurations.Outcome) -> bool:
+    """Whether another attempt would be wrong or of no use."""
+    return getattr(outcome, "code", None) is not Code.CONFLICT
--- /dev/null
+++ b/packages/zinniahook-cli/src/zinniahook_cli/sessions.py
@@ -0,0 +1,346 @@
+"""Runs statements: one session holds the store, the daemons and the open change."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from zinniahook_core import configuration
+from zinniahook_core.codes import Code, ZinniahookError
+from zinniahook_core.configuration import ConfigurationError, Document
+from zinniahook_store import Store, configurations
+from zinniahook_store.configurations import Committed, Refused, Stored, Unknown
+
+from . import drains, reports, rollouts, rotations, statements, syntax, views
+from .answers import MEANINGS_BY_STATUS, Answer, Status, status_of
+from .changes import Change, change, not_permitted, unknown
+from .daemons import Daemons
+from .grammar import CommandError
+from .identity import operator_of
+from .settings import ClientSettings
+from .tables import Table
+
+__all__ = ["Session"]
+
+Say = Callable[[str], None]
+Runner = Callable[["Session", Any], Awaitable[Answer]]
+
+_runners_by_type: dict[type, Runner] = {}
+
+
+def _runs(*kinds: type) -> Callable[[Runner], Runner]:
+    def register(runner: Runner) -> Runner:
+        _runners_by_type.update(dict.fromkeys(kinds, runner))
+        return runner
+
+    return register
+
+
+@dataclass
+class Draft:
+    """An open change: what it was begun on and its steps so far."""
+
+    base: Stored
+    steps: list[Change]
+
+
+class Session:
+    """What an operator's statements share.
+
+    Parameters
+    ----------
+    settings : ClientSettings
+        Addresses, certificate and patience.
+    store : Store
+        The store.
+    say : callable
+        Prints one line of progress.
+    wait : bool
+        Whether a commit waits until it is in force everywhere.
+    base : int, optional
+        The generation that changes must be made on.
+    """
+
+    def __init__(
+        self,
+        settings: ClientSettings,
+        store: Store,
+        say: Say,
+        *,
+        wait: bool = False,
+        base: int | None = None,
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.daemons = Daemons(settings)
+        self.say = say
+        self.wait = wait
+        self.base = base
+        self.draft: Draft | None = None
+
+    @property
+    def operator(self) -> str:
+        """The operator's name, from the certificate."""
+        return operator_of(self.settings)
+
+    async def run(self, statement: statements.Statement) -> Answer:
+        """Run one statement.
+
+        Raises
+        ------
+        ZinniahookError
+            With the code and, for a `CommandError`, the word at fault.
+        """
+        return await _runners_by_type[type(statement)](self, statement)
+
+    async def commit(
+        self,
+        base: Stored,
+        document: Document,
+        *,
+        keys: configuration.KeyRing | None = None,
+    ) -> Answer:
+        """Check who asks, commit, and say what became of it."""
+        operator = self.operator
+        forbidden = not_permitted(base.document, document, operator)
+        if forbidden:
+            return _refused(
+                Refused(
+                    Code.NOT_PERMITTED,
+                    f"{operator} may not change {', '.join(forbidden)}",
+                )
+            )
+        operation = configurations.new_operation()
+        outcome = await rollouts.commit(
+            self, base, document, operator, operation, keys=keys
+        )
+        return await self.told(base, outcome)
+
+    async def told(
+        self, base: Stored, outcome: configurations.Outcome, wait: bool | None = None
+    ) -> Answer:
+        """Turn the outcome of a commit into an answer."""
+        if isinstance(outcome, Unknown):
+            return Answer(
+                f"unknown: the answer was lost; settle it with: {outcome.command}",
+                facts={"outcome": "unknown", "command": outcome.command},
+                status=Status.UNKNOWN,
+            )
+        if isinstance(outcome, Refused):
+            return await self._refused_with_diff(base, outcome)
+        answer = Answer(
+            f"committed (generation {outcome.generation})",
+            facts={"outcome": "committed", "generation": outcome.generation},
+        )
+        if not (self.wait if wait is None else wait):
+            return answer
+        waited = await rollouts.until_everywhere(self, outcome.generation)
+        return Answer(
+            f"{answer.text}\n{waited.text}",
+            facts={**answer.facts, **(waited.facts or {})},
+            status=waited.status,
+        )
+
+    async def _refused_with_diff(self, base: Stored, outcome: Refused) -> Answer:
+        answer = _refused(outcome)
+        if outcome.code is not Code.CONFLICT:
+            return answer
+        try:
+            now = await configurations.read(self.store)
+        except ZinniahookError:
+            return answer
+        if now.manifest is not None:
+            text = (
+                f"{answer.text}; generation {now.generation} of "
+                f"{now.manifest.author} changed:"
+            )
+        table = _diff_table(base.document, now.document)
+        facts = {**answer.facts, "generation": now.generation}
+        return Answer(text, table, facts, answer.status)
+
+
+def _refused(outcome: Refused) -> Answer:
+    code = outcome.code
+    return Answer(
+        f"refused: {outcome.reason} ({code.name} {int(code)})",
+        facts={"outcome": "refused", "code": int(code), "reason": outcome.reason},
+        status=status_of(code),
+    )
+
+
+def _diff_table(before: Document, after: Document) -> Table:
+    return Table(
+        ("setting", "before", "after"),
+        tuple(map(tuple, configuration.diff(before, after))),
+    )
+
+
+@_runs(statements.Show)
+async def _show(session: Session, statement: statements.Show) -> Answer:
+    return Answer(table=await views.show(session, statement))
+
+
+@_runs(statements.Diff)
+async def _diff(session: Session, statement: statements.Diff) -> Answer:
+    documents = []
+    for word in (statement.before, statement.after):
+        generation = views.whole_number(word)
+        stored = await views.stored_at(session, generation, word)
+        documents.append(stored.document)
+    return Answer(table=_diff_table(*documents))
+
+
+@_runs(statements.Begin)
+async def _begin(session: Session, statement: statements.Begin) -> Answer:
+    if session.draft is not None:
+        raise CommandError("a change is open already", word=statement.word)
+    session.draft = Draft(await _base(session), [])
+    return Answer(f"begun on generation {session.draft.base.generation}")
+
+
+@_runs(statements.Set, statements.Create, statements.Remove, statements.Apply)
+async def _change(session: Session, statement: Change) -> Answer:
+    draft = session.draft
+    if draft is None:
+        base = await _base(session)
+        return await _try_commit(session, base, [statement])
+    draft.steps.append(statement)
+    try:
+        change(draft.base.document, draft.steps)
+    except CommandError:
+        draft.steps.pop()
+        raise
+    except ConfigurationError:
+        # A later step may mend it; only the whole is checked.
+        pass
+    return Answer(f"gathered ({len(draft.steps)} so far)")
+
+
+@_runs(statements.Commit)
+async def _commit(session: Session, statement: statements.Commit) -> Answer:
+    draft = session.draft
+    if draft is None:
+        raise CommandError("no change is open: begin first", word=statement.word)
+    session.draft = None
+    return await _try_commit(session, draft.base, draft.steps)
+
+
+@_runs(statements.Abort)
+async def _abort(session: Session, statement: statements.Abort) -> Answer:
+    if session.draft is None:
+        raise CommandError("no change is open", word=statement.word)
+    session.draft = None
+    return Answer("forgotten; nothing was changed")
+
+
+@_runs(statements.Rollback)
+async def _rollback(session: Session, statement: statements.Rollback) -> Answer:
+    if session.draft is not None:
+        raise CommandError(
+            "a change is open: commit or abort it first", word=statement.generation
+        )
+    generation = views.whole_number(statement.generation)
+    base = await _base(session)
+    old = await views.stored_at(session, generation, statement.generation)
+    document = configuration.retire(old.document, base.document)
+    return await session.commit(base, document)
+
+
+@_runs(statements.Export)
+async def _export(session: Session, statement: statements.Export) -> Answer:
+    stored = await configurations.read(session.store)
+    try:
+        Path(statement.file.text).write_text(
+            configuration.render(stored.document), encoding="utf-8"
+        )
+    except OSError as error:
+        raise CommandError(
+            f"can't write: {error}", Code.SETTINGS_UNREADABLE, statement.file
+        ) from None
+    return Answer(f"generation {stored.generation} written to {statement.file}")
+
+
+@_runs(statements.Settle)
+async def _settle(session: Session, statement: statements.Settle) -> Answer:
+    operation = statement.operation.text
+    outcome = await configurations.settle(session.store, operation)
+    if isinstance(outcome, Committed):
+        return Answer(
+            f"committed (generation {outcome.generation})",
+            facts={"outcome": "committed", "generation": outcome.generation},
+        )
+    if isinstance(outcome, Refused):
+        return _refused(outcome)
+    return Answer(
+        f"unknown: the store gives no answer; try again: {outcome.command}",
+        facts={"outcome": "unknown", "command": outcome.command},
+        status=Status.UNKNOWN,
+    )
+
+
+@_runs(statements.Watch)
+async def _watch(session: Session, statement: statements.Watch) -> Answer:
+    stored = await configurations.read(session.store)
+    return await rollouts.until_everywhere(session, stored.generation)
+
+
+@_runs(statements.Drain)
+async def _drain(session: Session, statement: statements.Drain) -> Answer:
+    return await drains.drain(session, statement)
+
+
+@_runs(statements.Restart)
+async def _restart(session: Session, statement: statements.Restart) -> Answer:
+    return await drains.restart(session, statement)
+
+
+@_runs(statements.Rotate)
+async def _rotate(session: Session, statement: statements.Rotate) -> Answer:
+    return await rotations.rotate(session, statement)
+
+
+@_runs(statements.Report)
+async def _report(session: Session, statement: statements.Report) -> Answer:
+    return await reports.report(session, statement)
+
+
+@_runs(statements.Help)
+async def _help(session: Session, statement: statements.Help) -> Answer:
+    if statement.topic is None:
+        lines = [entry.syntax for entry in syntax.SYNTAX_BY_NAME.values()]
+        names = ", ".join(views.VIEWS_BY_NAME)
+        statuses = [
+            f"  {int(status)}  {meaning}"
+            for status, meaning in MEANINGS_BY_STATUS.items()
+        ]
+        parts = [*lines, "", f"Views: {names}", "", "Exit statuses:", *statuses]
+        return Answer("\n".join(parts))
+    topic = statement.topic.text
+    if topic in views.VIEWS_BY_NAME:
+        return Answer(f"show {topic}: {views.VIEWS_BY_NAME[topic].meaning}")
+    entry = syntax.SYNTAX_BY_NAME.get(topic)
+    if entry is None:
+        names = [*syntax.SYNTAX_BY_NAME, *views.VIEWS_BY_NAME]
+        raise unknown(statement.topic, "topic", names)
+    examples = "\n".join(f"  {example}" for example in entry.examples)
+    return Answer(f"{entry.syntax}\n{entry.meaning}\n{examples}")
+
+
+async def _base(session: Session) -> Stored:
+    """Read the newest generation; it must be the one that was asked for."""
+    stored = await configurations.read(session.store)
+    if session.base is not None and stored.generation != session.base:
+        raise ZinniahookError(
+            f"generation {stored.generation} is in force, not {session.base}",
+            Code.CONFLICT,
+        )
+    return stored
+
+
+async def _try_commit(session: Session, base: Stored, steps: list[Change]) -> Answer:
+    document = change(base.document, steps)
+    if document == base.document and base.generation:
+        return Answer("nothing to change", facts={"outcome": "unchanged"})
+    return await session.commit(base, document)
--- /dev/null
+++ b/packages/zinniahook-cli/src/zinniahook_cli/views.py
@@ -0,0 +1,356 @@
+"""The tables that ``show`` prints, in a registry."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from datetime import UTC, datetime
+from statistics import fmean
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from zinniahook_core import configuration
+from zinniahook_core.codes import Code, ZinniahookError
+from zinniahook_core.models import AgentState
+from zinniahook_store import configurations
+
+from .changes import unknown
+from .daemons import progress
+from .fleets import Fleet, read_fleet
+from .grammar import CommandError
+from .statements import Show, Word
+from .tables import Table, filtered, grouped
+
+if TYPE_CHECKING:
+    from .sessions import Session
+
+__all__ = ["VIEWS_BY_NAME", "View", "show", "stored_at", "whole_number"]
+
+
+class View(NamedTuple):
+    """A view with its columns' source and what it is for."""
+
+    read: Callable[[Session, Show], Awaitable[Table]]
+    meaning: str
+
+
+VIEWS_BY_NAME: dict[str, View] = {}
+
+
+def _view(name: str) -> Callable:
+    def register(function: Callable[[Session, Show], Awaitable[Table]]) -> Callable:
+        VIEWS_BY_NAME[name] = View(function, function.__doc__.splitlines()[0])
+        return function
+
+    return register
+
+
+async def show(session: Session, statement: Show) -> Table:
+    """Read a view, filter it and group it.
+
+    Raises
+    ------
+    ZinniahookError
+        If a name is unknown or the store gives no answer.
+    """
+    view = VIEWS_BY_NAME.get(statement.view.text)
+    if view is None:
+        raise unknown(statement.view, "view", VIEWS_BY_NAME)
+    table = filtered(await view.read(session, statement), statement.where)
+    if statement.by is not None:
+        table = grouped(table, statement.by)
+    return table
+
+
+def whole_number(word: Word) -> int:
+    """Return the generation that a word names.
+
+    Raises
+    ------
+    CommandError
+        If it is no whole number.
+    """
+    if not word.text.isdecimal():
+        raise CommandError("a generation is a whole number", word=word)
+    return int(word.text)
+
+
+async def stored_at(
+    session: Session, generation: int, word: Word
+) -> configurations.Stored:
+    """Read a generation that a word names.
+
+    Raises
+    ------
+    ZinniahookError
+        A `CommandError` that points at the word if it isn't stored.
+    """
+    try:
+        return await configurations.read(session.store, generation)
+    except ZinniahookError as error:
+        if error.code is not Code.GENERATION_UNKNOWN:
+            raise
+        raise CommandError(str(error), error.code, word) from None
+
+
+async def _stored(session: Session, statement: Show) -> configurations.Stored:
+    if statement.at is None:
+        return await configurations.read(session.store)
+    return await stored_at(session, whole_number(statement.at), statement.at)
+
+
+def _check_service(of: Word | None, names: Any) -> None:
+    if of is not None and of.text not in names:
+        raise unknown(of, "service", names)
+
+
+async def _fleet(session: Session, statement: Show, **flags: bool) -> Fleet:
+    fleet = await read_fleet(session.store, session.daemons, **flags)
+    _check_service(statement.of, fleet.rosters_by_service)
+    if statement.of is None:
+        return fleet
+    name = statement.of.text
+    return fleet._replace(rosters_by_service={name: fleet.rosters_by_service[name]})
+
+
+def _silent(fleet: Fleet) -> tuple[str, ...]:
+    return tuple(
+        f"no answer from {one.control}: {one.reason}" for one in fleet.survey.silent
+    )
+
+
+@_view("services")
+async def _services(session: Session, statement: Show) -> Table:
+    """Services with their addresses and limits, as the configuration has them."""
+    stored = await _stored(session, statement)
+    rows = tuple(
+        (
+            service.name,
+            service.number,
+            str(service.address),
+            str(service.protocol),
+            tuple(sorted(service.classes_by_name)),
+            service.drain,
+            service.idle,
+            service.targets,
+            service.data_centres,
+        )
+        for _, service in sorted(stored.document.services_by_name.items())
+    )
+    columns = ("service", "number", "address", "protocol", "classes")
+    columns += ("drain", "idle", "targets", "data_centres")
+    return Table(columns, rows)
+
+
+@_view("classes")
+async def _classes(session: Session, statement: Show) -> Table:
+    """Request classes with their slots, shares, queues and deadlines."""
+    stored = await _stored(session, statement)
+    services = stored.document.services_by_name
+    _check_service(statement.of, services)
+    rows = tuple(
+        (name, *item)
+        for name, service in sorted(services.items())
+        if statement.of is None or statement.of.text == name
+        for _, item in sorted(service.classes_by_name.items())
+    )
+    columns = ("service", "class", "prefix", "slots", "share")
+    return Table((*columns, "limit", "queue", "deadline"), rows)
+
+
+@_view("operators")
+async def _operators(session: Session, statement: Show) -> Table:
+    """Operators and what each may change."""
+    stored = await _stored(session, statement)
+    rows = tuple(
+        tuple(item) for _, item in sorted(stored.document.operators_by_name.items())
+    )
+    return Table(("operator", "services", "keys", "operators"), rows)
+
+
+@_view("config")
+async def _config(session: Session, statement: Show) -> Table:
+    """Every setting of the document, in force or at a generation."""
+    stored = await _stored(session, statement)
+    settings = configuration.settings_by_key(stored.document)
+    return Table(("setting", "value"), tuple(sorted(settings.items())))
+
+
+@_view("history")
+async def _history(session: Session, statement: Show) -> Table:
+    """Kept generations with author, time and operation id, the newest first."""
+    manifests = await configurations.history(session.store)
+    rows = tuple(
+        (item.generation, item.parent, item.author, _moment(item.time), item.operation)
+        for item in manifests
+    )
+    return Table(("generation", "parent", "author", "time", "operation"), rows)
+
+
+@_view("keys")
+async def _keys(session: Session, statement: Show) -> Table:
+    """Key ids and whether each is in use or accepted only; never a secret."""
+    stored = await _stored(session, statement)
+    if stored.keys is None:
+        return Table(("kind", "key", "state"), ())
+    ring = stored.keys
+    rows = [
+        (kind, number, "in use" if number == used else "accepted")
+        for kind, numbers, used in (
+            ("flow", ring.flow_keys_by_number, ring.flow_key),
+            ("tunnel", ring.tunnel_keys_by_number, ring.tunnel_key),
+        )
+        for number in sorted(numbers)
+    ]
+    return Table(("kind", "key", "state"), tuple(rows))
+
+
+@_view("targets")
+async def _targets(session: Session, statement: Show) -> Table:
+    """Targets as the rosters have them, with each agent's own state."""
+    fleet = await _fleet(session, statement)
+    rows = []
+    for service, member in fleet.agents:
+        reply = fleet.reply(member.control)
+        own = (reply.state, reply.generation) if reply else (None, None)
+        rows.append(
+            (
+                service,
+                member.name,
+                str(member.target),
+                member.data_centre,
+                member.state.name.lower(),
+                member.slots,
+                member.incarnation,
+                *own,
+            )
+        )
+    columns = ("service", "instance", "target", "data_centre", "state", "slots")
+    columns += ("incarnation", "own_state", "generation")
+    return Table(columns, tuple(rows), _silent(fleet))
+
+
+@_view("flows")
+async def _flows(session: Session, statement: Show) -> Table:
+    """Flows, requests and queues at each target, by its agent's own counts."""
+    fleet = await _fleet(session, statement)
+    rows = []
+    for service, member in fleet.agents:
+        reply = fleet.reply(member.control)
+        if reply is None or not reply.has_load:
+            continue
+        counts = (reply.flows, reply.streams, reply.busy, reply.queued)
+        place = (service, str(member.target), member.name, member.data_centre)
+        rows.append((*place, *counts))
+    columns = ("service", "target", "instance", "data_centre")
+    columns += ("flows", "streams", "busy", "queued")
+    return Table(columns, tuple(rows), _silent(fleet))
+
+
+@_view("imbalance")
+async def _imbalance(session: Session, statement: Show) -> Table:
+    """How unevenly each service's targets are loaded: most over mean."""
+    fleet = await _fleet(session, statement)
+    replies_by_service: dict[str, list] = {}
+    for service, member in fleet.agents:
+        reply = fleet.reply(member.control)
+        if member.state is AgentState.READY and reply and reply.has_load:
+            replies_by_service.setdefault(service, []).append(reply)
+    rows = tuple(
+        (
+            service,
+            len(replies),
+            _most_over_mean([reply.flows for reply in replies]),
+            _most_over_mean([reply.busy / max(1, reply.slots) for reply in replies]),
+            max(reply.queued for reply in replies),
+        )
+        for service, replies in sorted(replies_by_service.items())
+    )
+    columns = ("service", "targets", "flows", "busy", "longest_queue")
+    return Table(columns, rows, _silent(fleet))
+
+
+@_view("daemons")
+async def _daemons(session: Session, statement: Show) -> Table:
+    """Daemons that answer, with the generation each has in force."""
+    fleet = await _fleet(session, statement)
+    rows = tuple(
+        (
+            reply.name,
+            reply.role,
+            reply.data_centre,
+            str(control),
+            reply.state,
+            reply.generation,
+            round(reply.in_force, 1),
+            round(reply.age, 1),
+            reply.depth,
+            reply.reason or None,
+        )
+        for control, reply in sorted(fleet.survey.answers_by_control.items())
+    )
+    columns = ("instance", "role", "data_centre", "control", "state")
+    columns += ("generation", "in_force", "age", "depth", "reason")
+    return Table(columns, rows, _silent(fleet))
+
+
+@_view("entries")
+async def _entries(session: Session, statement: Show) -> Table:
+    """Entries that answer."""
+    table = await _daemons(session, statement)
+    return table._replace(rows=tuple(row for row in table.rows if row[1] == "entry"))
+
+
+@_view("counters")
+async def _counters(session: Session, statement: Show) -> Table:
+    """Counters of every daemon; those of drops by result code."""
+    fleet = await _fleet(session, statement, counters=True)
+    rows = []
+    for reply in fleet.survey.answers_by_control.values():
+        place = (reply.name, reply.role)
+        rows += [(*place, *item) for item in reply.counters_by_name.items()]
+        rows += [
+            (*place, f"drop.{_code_name(number)}", count)
+            for number, count in reply.drops_by_code.items()
+        ]
+    columns = ("instance", "role", "counter", "count")
+    return Table(columns, tuple(sorted(rows)), _silent(fleet))
+
+
+@_view("rollout")
+async def _rollout(session: Session, statement: Show) -> Table:
+    """How far the newest generation has come, by data centre."""
+    stored = await configurations.read(session.store)
+    fleet = await _fleet(session, statement)
+    counts: dict[str, list[int]] = {}
+    for reply in fleet.survey.answers_by_control.values():
+        row = counts.setdefault(reply.data_centre, [0, 0])
+        row[0] += 1
+        row[1] += reply.generation >= stored.generation
+    rows = tuple(
+        (stored.generation, centre, *row) for centre, row in sorted(counts.items())
+    )
+    lagging = progress(stored.generation, fleet.survey).lagging
+    notes = tuple(f"lags: {one}" for one in lagging)
+    return Table(("generation", "data_centre", "daemons", "in_force"), rows, notes)
+
+
+@_view("codes")
+async def _codes(session: Session, statement: Show) -> Table:
+    """Numbers and names of the result codes."""
+    return Table(("code", "name"), tuple((int(code), code.name) for code in Code))
+
+
+def _most_over_mean(values: list[float]) -> float:
+    mean = fmean(values)
+    return max(values) / mean if mean else 1.0
+
+
+def _code_name(number: int) -> str:
+    try:
+        return Code(number).name
+    except ValueError:
+        return str(number)
+
+
+def _moment(seconds: float) -> str:
+    moment = datetime.fromtimestamp(seconds, UTC)
+    return moment.isoformat(timespec="seconds")
