store: client of the platform's service, and its stand-in

Cause: daemons and operators need compare-and-swap, leases and watches, with the difference between a write that certainly didn't run and one whose answer was lost. Change: Store on tornado's client with failover, tagged outcomes, settle and swap by operation id, paged reads at one revision, watches that compare themselves with the newest stored revision after 2 s of silence and read what they missed. A write counts as sent only once its body was asked for, which happens after the connect. The stand-in runs as a process with outages, slowness, lost and late answers, silent watches, compaction and counts of calls. A process's ready value is what stands under "ready" in its line.

--- a/packages/zinniahook-store/src/zinniahook_store/__init__.py
+++ b/packages/zinniahook-store/src/zinniahook_store/__init__.py
@@ -1,1 +1,30 @@
 """Client of the platform's key-value service."""
+
+from .client import TIMEOUT, Store
+from .outcomes import (
+    AnswerLost,
+    Change,
+    Conflict,
+    Item,
+    NotWritten,
+    Snapshot,
+    StoreError,
+    WriteOutcome,
+    Written,
+)
+from .watches import Watch
+
+__all__ = [
+    "TIMEOUT",
+    "AnswerLost",
+    "Change",
+    "Conflict",
+    "Item",
+    "NotWritten",
+    "Snapshot",
+    "Store",
+    "StoreError",
+    "Watch",
+    "WriteOutcome",
+    "Written",
+]
--- /dev/null
+++ b/packages/zinniahook-store/src/zinniahook_store/client.py
@@ -0,0 +1,436 @@
+"""Client of the platform's key-value service (etcd v3, JSON over HTTP)."""
+
+from __future__ import annotations
+
+import base64
+import random
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from typing import Any
+
+from zinniahook_core.codes import Code, Failure
+
+from .gateway import Gateway, GatewayError, encode_key, prefix_end
+from .outcomes import (
+    AnswerLost,
+    Conflict,
+    Item,
+    NotWritten,
+    Snapshot,
+    StoreError,
+    WriteOutcome,
+    Written,
+)
+from .watches import SILENCE, Watch
+
+__all__ = ["Store", "TIMEOUT"]
+
+TIMEOUT = 2.0
+"""Seconds that a call waits for its answer."""
+
+PAGE_SIZE = 500
+"""Values read by one call of a range."""
+
+BATCH_SIZE = 100
+BATCH_BYTES = 1_000_000
+"""Operations and bytes of values in one transaction of a batch."""
+
+
+class Store:
+    """The platform's service, where all that must last is kept.
+
+    Reads raise `StoreError`. Writes return a tagged outcome: `Written`,
+    `Conflict`, `NotWritten` (certain) or `AnswerLost`, which `settle` clears
+    up. No write is repeated by the client unless asked by `swap`.
+
+    Parameters
+    ----------
+    addresses : sequence of Address or str
+        Endpoints, each ``host:port``; the next is used when one fails.
+    timeout : float
+        Seconds that each call waits at one endpoint.
+    rng : random.Random, optional
+        Source of the jitter.
+
+    Attributes
+    ----------
+    calls_by_kind, failures_by_kind : Counter
+        Calls made, a waiting watch as one, and those without a usable
+        answer.
+    """
+
+    def __init__(
+        self,
+        addresses: Sequence[object],
+        timeout: float = TIMEOUT,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._gateway = Gateway(addresses, timeout, rng or random.Random())
+        self.calls_by_kind = self._gateway.calls_by_kind
+        self.failures_by_kind = self._gateway.failures_by_kind
+
+    # Reads
+
+    async def get(self, key: str) -> Item | None:
+        """Return what is stored under a key, None if nothing is.
+
+        Raises
+        ------
+        StoreError
+            If the store gives no answer.
+        """
+        answer = await self._read({"key": encode_key(key)})
+        return next(iter(_items(answer)), None)
+
+    async def get_many(self, keys: Iterable[str]) -> dict[str, Item]:
+        """Return what is stored under the keys, in few calls.
+
+        Raises
+        ------
+        StoreError
+            If the store gives no answer.
+        """
+        found: dict[str, Item] = {}
+        names = list(dict.fromkeys(keys))
+        for start in range(0, len(names), BATCH_SIZE):
+            reads = [_read_of(key) for key in names[start : start + BATCH_SIZE]]
+            answer = await self._call_to_read("range", "/v3/kv/txn", {"success": reads})
+            for response in answer.get("responses", ()):
+                for item in _items(response["response_range"]):
+                    found[item.key] = item
+        return found
+
+    async def range(self, prefix: str) -> list[Item]:
+        """Return everything under a prefix, in the order of the keys.
+
+        Raises
+        ------
+        StoreError
+            If the store gives no answer.
+        """
+        snapshot = await self.snapshot(prefix)
+        return list(snapshot.items_by_key.values())
+
+    async def snapshot(self, prefix: str, after: int = 0) -> Snapshot:
+        """Return what is under a prefix as of one revision.
+
+        Parameters
+        ----------
+        prefix : str
+            What to read.
+        after : int
+            Only values written after this revision are read.
+
+        Raises
+        ------
+        StoreError
+            If the store gives no answer.
+        """
+        items: dict[str, Item] = {}
+        body: dict[str, Any] = {
+            "range_end": encode_key(prefix_end(prefix)),
+            "limit": PAGE_SIZE,
+        }
+        if after:
+            body["min_mod_revision"] = str(after + 1)
+        key = prefix
+        count = None
+        while True:
+            answer = await self._read({**body, "key": encode_key(key)})
+            if count is None:
+                count = int(answer.get("count", 0))
+            # Later pages are read at the revision of the first, or the pages
+            # would show a state that never was.
+            body.setdefault("revision", _revision(answer))
+            for item in _items(answer):
+                items[item.key] = item
+                key = item.key + "\0"
+            if not answer.get("more"):
+                return Snapshot(int(body["revision"]), items, count)
+
+    async def newest(self, prefix: str) -> tuple[int, int]:
+        """Return the revision of the last write under a prefix, and the count.
+
+        Raises
+        ------
+        StoreError
+            If the store gives no answer.
+        """
+        answer = await self._read(
+            {
+                "key": encode_key(prefix),
+                "range_end": encode_key(prefix_end(prefix)),
+                "limit": 1,
+                "keys_only": True,
+                "sort_order": "DESCEND",
+                "sort_target": "MOD",
+            }
+        )
+        revision = max((item.revision for item in _items(answer)), default=0)
+        return revision, int(answer.get("count", 0))
+
+    # Writes
+
+    async def put(self, key: str, value: bytes, lease: int = 0) -> WriteOutcome:
+        """Store a value, whatever was stored before."""
+        return await self._write("put", "/v3/kv/put", _put(key, value, lease))
+
+    async def put_many(self, values_by_key: Mapping[str, bytes]) -> WriteOutcome:
+        """Store values in as few calls as fit; not all at once.
+
+        Meant for values that nothing refers to yet. Ends at the first
+        batch that is not written.
+        """
+        outcome: WriteOutcome = Written(0)
+        for batch in _batches(values_by_key):
+            outcome = await self.transact({}, batch)
+            if not isinstance(outcome, Written):
+                break
+        return outcome
+
+    async def delete(self, key: str) -> WriteOutcome:
+        """Delete a value if there is one."""
+        body = {"key": encode_key(key)}
+        return await self._write("delete", "/v3/kv/deleterange", body)
+
+    async def compare_and_swap(
+        self, key: str, revision: int, value: bytes, lease: int = 0
+    ) -> WriteOutcome:
+        """Store a value if the key's revision is still ``revision``.
+
+        Revision 0 stands for a key that does not exist.
+        """
+        return await self.transact({key: revision}, {key: value}, lease=lease)
+
+    async def transact(
+        self,
+        revisions_by_key: Mapping[str, int],
+        values_by_key: Mapping[str, bytes],
+        deletes: Iterable[str] = (),
+        lease: int = 0,
+    ) -> WriteOutcome:
+        """Make all writes at once if all compared revisions hold.
+
+        Parameters
+        ----------
+        revisions_by_key : Mapping[str, int]
+            Expected revision of keys; 0: the key does not exist.
+        values_by_key : Mapping[str, bytes]
+            Values to store.
+        deletes : iterable of str
+            Keys to delete.
+        lease : int
+            Lease that the values end with; 0 for none.
+        """
+        writes = [
+            {"request_put": _put(key, value, lease)}
+            for key, value in values_by_key.items()
+        ]
+        writes += [
+            {"request_delete_range": {"key": encode_key(key)}} for key in deletes
+        ]
+        body = {
+            "compare": [
+                {
+                    "key": encode_key(key),
+                    "target": "MOD",
+                    "result": "EQUAL",
+                    "mod_revision": str(revision),
+                }
+                for key, revision in revisions_by_key.items()
+            ],
+            "success": writes,
+            "failure": [_read_of(key) for key in revisions_by_key],
+        }
+        return await self._write("txn", "/v3/kv/txn", body, revisions_by_key)
+
+    async def settle(
+        self, key: str, revision: int, contains: Callable[[bytes], bool]
+    ) -> WriteOutcome:
+        """Find out what became of a compare-and-swap whose answer was lost.
+
+        Parameters
+        ----------
+        key : str
+            The key that was written.
+        revision : int
+            The revision that the write compared.
+        contains : callable
+            Tells whether a stored value carries the write's operation id;
+            later writes have to hand the ids of earlier ones on.
+
+        Returns
+        -------
+        WriteOutcome
+            `Written` or `Conflict` for certain. `AnswerLost` if the store
+            doesn't answer, or while the key still has the compared revision:
+            the write may then still be on its way and take effect later, so
+            that only making it again settles it.
+        """
+        try:
+            item = await self.get(key)
+        except StoreError as error:
+            return AnswerLost(error.failure)
+        if item is not None and contains(item.value):
+            return Written(item.revision)
+        if (item.revision if item else 0) != revision:
+            return Conflict(item)
+        reason = f"{key}: not written yet, but it may still be on its way"
+        return AnswerLost(Failure(Code.STORE_ANSWER_LOST, reason))
+
+    async def swap(
+        self,
+        key: str,
+        revision: int,
+        value: bytes,
+        contains: Callable[[bytes], bool],
+        attempts: int = 3,
+    ) -> WriteOutcome:
+        """Compare and swap, and settle a lost answer by making it again.
+
+        Making it again is safe: once one of the copies took effect, the
+        compared revision is gone for good.
+        """
+        lost: AnswerLost | None = None
+        for _ in range(attempts):
+            outcome = await self.compare_and_swap(key, revision, value)
+            if isinstance(outcome, Conflict) and lost and outcome.current:
+                current = outcome.current
+                return Written(current.revision) if contains(current.value) else outcome
+            if isinstance(outcome, AnswerLost):
+                lost = outcome
+            elif not isinstance(outcome, NotWritten) or lost is None:
+                return outcome
+        return lost or outcome
+
+    # Leases
+
+    async def grant(self, seconds: int) -> int:
+        """Return the id of a new lease.
+
+        Raises
+        ------
+        StoreError
+            If the store gives no answer.
+        """
+        body = {"TTL": str(seconds)}
+        answer = await self._call_to_read("lease", "/v3/lease/grant", body)
+        return int(answer["ID"])
+
+    async def keep_alive(self, lease: int) -> int:
+        """Renew a lease and return its seconds left, 0 if it has lapsed.
+
+        Raises
+        ------
+        StoreError
+            If the store gives no answer; the lease may have been renewed.
+        """
+        body = {"ID": str(lease)}
+        answer = await self._call_to_read("lease", "/v3/lease/keepalive", body)
+        return int(answer.get("result", {}).get("TTL", 0))
+
+    async def revoke(self, lease: int) -> WriteOutcome:
+        """End a lease and delete the values that depend on it."""
+        return await self._write("lease", "/v3/lease/revoke", {"ID": str(lease)})
+
+    # Watches
+
+    def watch(
+        self, prefix: str, revision: int = 0, *, silence: float = SILENCE
+    ) -> Watch:
+        """Return an async iterator over the changes under a prefix.
+
+        Parameters
+        ----------
+        prefix : str
+            What to watch.
+        revision : int
+            Changes after this revision are reported; with 0, everything
+            stored comes first.
+        silence : float
+            Seconds without a message after which the watch is checked
+            against a read.
+        """
+        return Watch(self, self._gateway, prefix, revision, silence)
+
+    def close(self) -> None:
+        """Release the HTTP client."""
+        self._gateway.close()
+
+    # Calls
+
+    async def _read(self, body: dict[str, Any]) -> dict[str, Any]:
+        return await self._call_to_read("range", "/v3/kv/range", body)
+
+    async def _call_to_read(
+        self, kind: str, path: str, body: dict[str, Any]
+    ) -> dict[str, Any]:
+        try:
+            return await self._gateway.call(kind, path, body, repeat=True)
+        except GatewayError as error:
+            raise StoreError(str(error)) from error
+
+    async def _write(
+        self,
+        kind: str,
+        path: str,
+        body: dict[str, Any],
+        revisions_by_key: Mapping[str, int] | None = None,
+    ) -> WriteOutcome:
+        try:
+            answer = await self._gateway.call(kind, path, body, repeat=False)
+        except GatewayError as error:
+            if error.sent:
+                return AnswerLost(Failure(Code.STORE_ANSWER_LOST, str(error)))
+            return NotWritten(Failure(Code.STORE_DOWN, str(error)))
+        if revisions_by_key is not None and not answer.get("succeeded"):
+            return Conflict(_differing(answer, revisions_by_key))
+        return Written(_revision(answer))
+
+
+def _differing(
+    answer: dict[str, Any], revisions_by_key: Mapping[str, int]
+) -> Item | None:
+    """Find the first compared key whose revision differs."""
+    responses = answer.get("responses", ())
+    for response, revision in zip(responses, revisions_by_key.values(), strict=False):
+        item = next(iter(_items(response["response_range"])), None)
+        if (item.revision if item else 0) != revision:
+            return item
+    return None
+
+
+def _batches(values_by_key: Mapping[str, bytes]) -> Iterator[dict[str, bytes]]:
+    batch: dict[str, bytes] = {}
+    size = 0
+    for key, value in values_by_key.items():
+        if batch and (len(batch) >= BATCH_SIZE or size + len(value) > BATCH_BYTES):
+            yield batch
+            batch, size = {}, 0
+        batch[key] = value
+        size += len(value)
+    if batch:
+        yield batch
+
+
+def _put(key: str, value: bytes, lease: int) -> dict[str, Any]:
+    body = {"key": encode_key(key), "value": base64.b64encode(value).decode()}
+    if lease:
+        body["lease"] = str(lease)
+    return body
+
+
+def _read_of(key: str) -> dict[str, Any]:
+    return {"request_range": {"key": encode_key(key)}}
+
+
+def _items(answer: dict[str, Any]) -> Iterator[Item]:
+    for value in answer.get("kvs", ()):
+        yield Item(
+            base64.b64decode(value["key"]).decode(),
+            base64.b64decode(value.get("value", "")),
+            int(value["mod_revision"]),
+        )
+
+
+def _revision(answer: dict[str, Any]) -> int:
+    return int(answer["header"]["revision"])
--- /dev/null
+++ b/packages/zinniahook-store/src/zinniahook_store/watches.py
@@ -0,0 +1,210 @@
+"""Watches that notice when they have gone silent.
+
+A watch is a hint that saves reads. Something between the two ends may lose
+track of its connection; the watch then waits for ever while the values move
+on. So after some seconds without a message one small read compares the newest
+revision under the prefix with the last one seen, and what the watch missed is
+read. Values thus arrive also while no watch of the service works at all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import time
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING, Any
+
+from .gateway import Gateway, GatewayError, Stream, encode_key, prefix_end
+from .outcomes import Change, StoreError
+
+if TYPE_CHECKING:
+    from .client import Store
+
+__all__ = ["SILENCE", "Watch"]
+
+SILENCE = 2.0
+"""Seconds without a message before a watch is checked."""
+
+GRACE = 0.3
+"""Seconds that a message already on its way has to arrive."""
+
+SILENCE_JITTER = 0.2
+"""Part by which the silence varies, so that watches don't check in step."""
+
+
+class Watch:
+    """Async iterator over the changes under a prefix; never ends by itself.
+
+    For each key the reported revisions only grow. Changes that follow each
+    other while the watch is down are reported as the last of them. A deletion
+    is reported if the watch has seen the key.
+
+    Attributes
+    ----------
+    heard : float
+        Monotonic time at which the store last answered.
+    revision : int
+        Revision of the store up to which everything was reported.
+    """
+
+    def __init__(
+        self, store: Store, gateway: Gateway, prefix: str, revision: int, silence: float
+    ) -> None:
+        self.heard = float("-inf")
+        self.revision = revision
+        self._store = store
+        self._gateway = gateway
+        self._prefix = prefix
+        self._silence = silence
+        self._revisions_by_key: dict[str, int] = {}
+        self._behind = True
+        self._changes = self._run()
+
+    def __aiter__(self) -> Watch:
+        return self
+
+    async def __anext__(self) -> Change:
+        return await anext(self._changes)
+
+    async def aclose(self) -> None:
+        """End the watch and close its connection."""
+        await self._changes.aclose()
+
+    async def _run(self) -> AsyncIterator[Change]:
+        failures = 0
+        for change in await self._first_read():
+            yield change
+        while True:
+            heard = self.heard
+            stream = self._open()
+            try:
+                async for change in self._follow(stream):
+                    yield change
+            finally:
+                stream.abort()
+            if self._behind:
+                for change in await self._try_to_read():
+                    yield change
+            failures = 0 if self.heard > heard else failures + 1
+            self._gateway.advance()
+            await asyncio.sleep(self._gateway.pause(failures))
+
+    def _open(self) -> Stream:
+        create = {
+            "key": encode_key(self._prefix),
+            "range_end": encode_key(prefix_end(self._prefix)),
+            "start_revision": str(self.revision + 1),
+            "progress_notify": True,
+        }
+        return self._gateway.open("watch", "/v3/watch", {"create_request": create})
+
+    async def _follow(self, stream: Stream) -> AsyncIterator[Change]:
+        """Report what the stream brings until it ends or falls behind."""
+        while True:
+            message = await self._next_message(stream)
+            if message is None:
+                return
+            result = message.get("result")
+            if result is None:
+                return
+            self.heard = time.monotonic()
+            if result.get("canceled"):
+                # Also when the revision was compacted away: only reading
+                # tells what is stored now.
+                self._behind = True
+                return
+            for change in self._report(result):
+                yield change
+
+    async def _next_message(self, stream: Stream) -> dict[str, Any] | None:
+        """Return the next message, None if the stream is of no more use."""
+        wait = self._silence
+        while True:
+            jitter = self._gateway.rng.uniform(1 - SILENCE_JITTER, 1)
+            try:
+                return await asyncio.wait_for(stream.read(), wait * jitter)
+            except GatewayError:
+                return None
+            except TimeoutError:
+                if self._behind:
+                    self._gateway.failures_by_kind["watch"] += 1
+                    return None
+            self._behind = await self._is_behind()
+            wait = GRACE if self._behind else self._silence
+
+    async def _is_behind(self) -> bool:
+        """Compare what is stored with what was seen."""
+        try:
+            newest, count = await self._store.newest(self._prefix)
+        except StoreError:
+            return False
+        self.heard = time.monotonic()
+        return newest > self.revision or count != len(self._revisions_by_key)
+
+    def _report(self, result: dict[str, Any]) -> list[Change]:
+        self._behind = False
+        events = result.get("events", ())
+        changes = [_change(event) for event in events]
+        for change in changes:
+            # The header's revision may be ahead of the events sent so far,
+            # so only the events tell where to resume.
+            self.revision = max(self.revision, change.revision)
+        return [change for change in changes if self._note(change)]
+
+    def _note(self, change: Change) -> bool:
+        """Remember a change; False if it is older than what was reported."""
+        if change.revision <= self._revisions_by_key.get(change.key, 0):
+            return False
+        if change.value is None:
+            return self._revisions_by_key.pop(change.key, None) is not None
+        self._revisions_by_key[change.key] = change.revision
+        return True
+
+    async def _first_read(self) -> list[Change]:
+        failures = 0
+        while True:
+            try:
+                return await self._read_all()
+            except StoreError:
+                failures += 1
+                await asyncio.sleep(self._gateway.pause(failures))
+
+    async def _try_to_read(self) -> list[Change]:
+        try:
+            return await self._read_missed()
+        except StoreError:
+            return []
+
+    async def _read_missed(self) -> list[Change]:
+        snapshot = await self._store.snapshot(self._prefix, after=self.revision)
+        changes = [Change(*item) for item in snapshot.items_by_key.values()]
+        reported = [change for change in changes if self._note(change)]
+        if snapshot.count != len(self._revisions_by_key):
+            return reported + await self._read_all()
+        self._caught_up(snapshot.revision)
+        return reported
+
+    async def _read_all(self) -> list[Change]:
+        snapshot = await self._store.snapshot(self._prefix)
+        gone = self._revisions_by_key.keys() - snapshot.items_by_key.keys()
+        changes = [Change(key, None, snapshot.revision) for key in sorted(gone)]
+        changes += [Change(*item) for item in snapshot.items_by_key.values()]
+        since, self.revision = self.revision, max(self.revision, snapshot.revision)
+        reported = [change for change in changes if self._note(change)]
+        self._caught_up(snapshot.revision)
+        return [change for change in reported if change.revision > since]
+
+    def _caught_up(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        self.heard = time.monotonic()
+        self._behind = False
+
+
+def _change(event: dict[str, Any]) -> Change:
+    stored = event["kv"]
+    key = base64.b64decode(stored["key"]).decode()
+    revision = int(stored["mod_revision"])
+    if event.get("type") == "DELETE":
+        return Change(key, None, revision)
+    return Change(key, base64.b64decode(stored.get("value", "")), revision)
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/processes.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/processes.py
@@ -1,7 +1,7 @@
 """Starts Python modules as real processes for tests and benchmarks.
 
-A module that can be started here prints one JSON line on its standard output
-once it is ready; its standard error is passed through.
+A module that can be started here prints one JSON line, ``{"ready": {...}}``,
+on its standard output once it is ready; its standard error is passed through.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
     Attributes
     ----------
     ready : dict
-        The ready line, decoded.
+        What the ready line says (the value of "ready" in it).
     pid : int
         The process id; signals go to this process only.
     """
@@ -168,7 +168,7 @@
         status = popen.wait()
         popen.stdout.close()
         raise NotReadyError(f"{module}: {error} (status {status})") from error
-    return Process(popen, ready)
+    return Process(popen, ready.get("ready", ready))
 
 
 def _read_line(popen: subprocess.Popen[bytes], timeout: float) -> bytes:
--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/stores.py
@@ -0,0 +1,442 @@
+"""Stand-in for the platform's key-value service (etcd v3, JSON over HTTP).
+
+Run ``python -m zinniahook_testkit.stores``. When ready it prints
+``{"ready": {"address": ..., "admin": ...}}``. The admin address takes::
+
+    POST /faults    any fields of `StoreFaults`; the others stay as they are
+    POST /compact   forget all revisions but the present one
+    POST /reset     set the counts of calls to zero
+    GET  /state     counts of calls by kind, faults, revision, open watches
+
+`start` runs it as a process for tests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import signal
+import socket
+import time
+import urllib.request
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from typing import Any, NamedTuple
+
+import defopt
+import tornado.iostream
+import tornado.web
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from . import processes
+from .etcd import compare_of, event_of, put_of, span_of, stored, written_keys
+from .keyspaces import CompactedError, Event, Keyspace, within
+
+__all__ = ["StoreFaults", "StoreProcess", "main", "start"]
+
+BODY_LIMIT = 64 * 1024 * 1024
+OPERATIONS_LIMIT = 128
+EXPIRE_INTERVAL = 0.1
+ADMIN_TIMEOUT = 10.0
+
+COMPACTED = "etcdserver: mvcc: required revision has been compacted"
+
+
+class StoreFaults(NamedTuple):
+    """How the stand-in misbehaves.
+
+    Attributes
+    ----------
+    outage : str
+        ``"refuse"`` closes every connection and refuses new ones, ``"hang"``
+        takes calls and never answers nor runs them, empty for none.
+    delay : float
+        Seconds that each call and each message of a watch is held back.
+    lose : int
+        How many of the next writes take effect while their answer is lost.
+    lose_prefix : str
+        Only writes to keys that start so are lost.
+    late : float
+        Seconds after which a write whose answer was lost takes effect.
+    silent : bool
+        Watches that are open now or get opened meanwhile stay silent for
+        good.
+    """
+
+    outage: str = ""
+    delay: float = 0.0
+    lose: int = 0
+    lose_prefix: str = ""
+    late: float = 0.0
+    silent: bool = False
+
+
+class Server:
+    """The service, its faults and its counts."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.keyspace = Keyspace()
+        self.keyspace.on_change(self._publish)
+        self.faults = StoreFaults()
+        self.calls_by_kind: Counter[str] = Counter()
+        self.watches: set[WatchHandler] = set()
+        routes = [
+            (r"/v3/kv/(range|put|txn|deleterange|compaction)", CallHandler),
+            (r"/v3/lease/(grant|keepalive|revoke)", CallHandler),
+            (r"/v3/watch", WatchHandler),
+        ]
+        self._application = tornado.web.Application(
+            [(path, handler, {"server": self}) for path, handler in routes],
+            log_function=lambda handler: None,
+        )
+        self._http: HTTPServer | None = None
+        self.address = (host, port)
+        self._listen()
+
+    async def set_faults(self, faults: StoreFaults) -> None:
+        """Change the faults and what follows from them."""
+        before, self.faults = self.faults, faults
+        if faults.silent:
+            for watch in self.watches:
+                watch.silent = True
+        if faults.outage == "refuse":
+            await self._refuse()
+        elif before.outage == "refuse":
+            self._listen()
+
+    def loses(self, keys: Iterable[bytes]) -> bool:
+        """Tell whether the answer of a write to these keys is to be lost."""
+        prefix = self.faults.lose_prefix.encode()
+        if not self.faults.lose or not any(key.startswith(prefix) for key in keys):
+            return False
+        self.faults = self.faults._replace(lose=self.faults.lose - 1)
+        return True
+
+    async def expire(self) -> None:
+        """End lapsed leases, for ever."""
+        while True:
+            self.keyspace.expire(time.monotonic())
+            await asyncio.sleep(EXPIRE_INTERVAL)
+
+    def _listen(self) -> None:
+        host, port = self.address
+        sockets = bind_sockets(port, host, socket.AF_INET)
+        self.address = sockets[0].getsockname()[:2]
+        self._http = HTTPServer(self._application, max_body_size=BODY_LIMIT)
+        self._http.add_sockets(sockets)
+
+    async def _refuse(self) -> None:
+        if self._http is not None:
+            server, self._http = self._http, None
+            server.stop()
+            await server.close_all_connections()
+
+    def _publish(self, events: Sequence[Event]) -> None:
+        for watch in list(self.watches):
+            watch.publish(events)
+
+
+class CallHandler(tornado.web.RequestHandler):
+    """Every call with one answer."""
+
+    def initialize(self, server: Server) -> None:
+        """Take the server."""
+        self.server = server
+
+    async def post(self, kind: str) -> None:
+        """Run one call."""
+        server = self.server
+        server.calls_by_kind[kind] += 1
+        body = json.loads(self.request.body)
+        await asyncio.sleep(server.faults.delay)
+        if server.faults.outage:
+            await self._hang()
+            return
+        if kind in ("put", "txn", "deleterange") and server.loses(written_keys(body)):
+            if server.faults.late:
+                loop = asyncio.get_running_loop()
+                loop.call_later(server.faults.late, self._run, kind, body)
+            else:
+                self._run(kind, body)
+            self._drop()
+            return
+        status, answer = self._run(kind, body)
+        with contextlib.suppress(tornado.iostream.StreamClosedError):
+            self.set_status(status)
+            await self.finish(answer)
+
+    def _run(self, kind: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        try:
+            return 200, getattr(self, f"_{kind}")(body)
+        except CompactedError:
+            return 400, {"error": COMPACTED, "code": 11, "message": COMPACTED}
+        except ValueError as error:
+            return 400, {"error": str(error), "code": 3, "message": str(error)}
+
+    async def _hang(self) -> None:
+        while self.server.faults.outage == "hang":
+            await asyncio.sleep(EXPIRE_INTERVAL)
+        self._drop()
+
+    def _drop(self) -> None:
+        self._auto_finish = False
+        self.request.connection.stream.close()
+
+    def _answer(self, **fields: Any) -> dict[str, Any]:
+        return {"header": {"revision": str(self.server.keyspace.revision)}, **fields}
+
+    def _range(self, body: dict[str, Any]) -> dict[str, Any]:
+        keyspace = self.server.keyspace
+        start, end = span_of(body)
+        found = keyspace.read(start, end, int(body.get("revision", 0)))
+        count = len(found)
+        least = int(body.get("min_mod_revision", 0))
+        found = [pair for pair in found if pair[1].revision >= least]
+        if body.get("sort_target") == "MOD":
+            found.sort(key=lambda pair: pair[1].revision)
+        if body.get("sort_order") == "DESCEND":
+            found.reverse()
+        limit = int(body.get("limit", 0)) or len(found)
+        answer = self._answer(
+            kvs=[
+                stored(key, version, with_value=not body.get("keys_only"))
+                for key, version in found[:limit]
+            ],
+            count=str(count),
+        )
+        if len(found) > limit:
+            answer["more"] = True
+        return answer
+
+    def _put(self, body: dict[str, Any]) -> dict[str, Any]:
+        self.server.keyspace.write([put_of(body)])
+        return self._answer()
+
+    def _deleterange(self, body: dict[str, Any]) -> dict[str, Any]:
+        deleted = self.server.keyspace.write(deletes=[span_of(body)])
+        return self._answer(deleted=str(deleted))
+
+    def _txn(self, body: dict[str, Any]) -> dict[str, Any]:
+        keyspace = self.server.keyspace
+        compares = [compare_of(item) for item in body.get("compare", ())]
+        succeeded = all(keyspace.holds(compare) for compare in compares)
+        operations = body.get("success" if succeeded else "failure", ())
+        if max(len(compares), len(operations)) > OPERATIONS_LIMIT:
+            raise ValueError("etcdserver: too many operations in txn request")
+        puts = [
+            put_of(item["request_put"]) for item in operations if "request_put" in item
+        ]
+        if len({key for key, _, _ in puts}) < len(puts):
+            raise ValueError("etcdserver: duplicate key given in txn request")
+        deletes = [
+            span_of(item["request_delete_range"])
+            for item in operations
+            if "request_delete_range" in item
+        ]
+        keyspace.write(puts, deletes)
+        responses = [self._operation(item) for item in operations]
+        answer = self._answer(responses=responses)
+        if succeeded:
+            answer["succeeded"] = True
+        return answer
+
+    def _operation(self, operation: dict[str, Any]) -> dict[str, Any]:
+        if "request_range" in operation:
+            return {"response_range": self._range(operation["request_range"])}
+        if "request_put" in operation:
+            return {"response_put": self._answer()}
+        return {"response_delete_range": self._answer()}
+
+    def _compaction(self, body: dict[str, Any]) -> dict[str, Any]:
+        self.server.keyspace.compact(int(body["revision"]))
+        return self._answer()
+
+    def _grant(self, body: dict[str, Any]) -> dict[str, Any]:
+        lease = self.server.keyspace.grant(int(body["TTL"]), time.monotonic())
+        return self._answer(ID=str(lease.number), TTL=str(lease.seconds))
+
+    def _keepalive(self, body: dict[str, Any]) -> dict[str, Any]:
+        number = int(body["ID"])
+        left = self.server.keyspace.keep_alive(number, time.monotonic())
+        result = self._answer(ID=str(number))
+        if left:
+            result["TTL"] = str(left)
+        return {"result": result}
+
+    def _revoke(self, body: dict[str, Any]) -> dict[str, Any]:
+        self.server.keyspace.revoke(int(body["ID"]))
+        return self._answer()
+
+
+class WatchHandler(tornado.web.RequestHandler):
+    """One waiting watch."""
+
+    def initialize(self, server: Server) -> None:
+        """Take the server."""
+        self.server = server
+        self.silent = server.faults.silent
+        self._messages: asyncio.Queue[dict[str, Any] | None] = asyncio.Queue()
+        self._range = b"", b""
+
+    async def post(self) -> None:
+        """Serve the watch until either side ends it."""
+        server = self.server
+        server.calls_by_kind["watch"] += 1
+        create = json.loads(self.request.body)["create_request"]
+        self._range = span_of(create)
+        first = int(create.get("start_revision", 0)) or server.keyspace.revision + 1
+        self._send(created=True)
+        try:
+            past = server.keyspace.since(first, *self._range)
+        except CompactedError:
+            compacted = str(server.keyspace.compacted)
+            self._send(canceled=True, compact_revision=compacted)
+            self._messages.put_nowait(None)
+        else:
+            if past:
+                self._send(events=[event_of(event) for event in past])
+            server.watches.add(self)
+        try:
+            await self._write_messages()
+        finally:
+            server.watches.discard(self)
+
+    def publish(self, events: Sequence[Event]) -> None:
+        """Queue the events that are watched."""
+        watched = [event for event in events if within(event.key, *self._range)]
+        if watched:
+            self._send(events=[event_of(event) for event in watched])
+
+    def on_connection_close(self) -> None:
+        """End the watch."""
+        self._messages.put_nowait(None)
+
+    def _send(self, **fields: Any) -> None:
+        header = {"revision": str(self.server.keyspace.revision)}
+        self._messages.put_nowait({"result": {"header": header, **fields}})
+
+    async def _write_messages(self) -> None:
+        while (message := await self._messages.get()) is not None:
+            await asyncio.sleep(self.server.faults.delay)
+            if self.silent or self.server.faults.outage:
+                continue
+            with contextlib.suppress(tornado.iostream.StreamClosedError):
+                self.write(json.dumps(message) + "\n")
+                await self.flush()
+
+
+class AdminHandler(tornado.web.RequestHandler):
+    """Faults and counts."""
+
+    def initialize(self, server: Server) -> None:
+        """Take the server."""
+        self.server = server
+
+    def get(self, action: str) -> None:
+        """Answer with the state."""
+        server = self.server
+        self.finish(
+            {
+                "calls": dict(server.calls_by_kind),
+                "faults": server.faults._asdict(),
+                "revision": server.keyspace.revision,
+                "compacted": server.keyspace.compacted,
+                "watches": len(server.watches),
+            }
+        )
+
+    async def post(self, action: str) -> None:
+        """Change the faults, compact or reset."""
+        server = self.server
+        if action == "faults":
+            try:
+                faults = server.faults._replace(**json.loads(self.request.body))
+            except ValueError as error:
+                raise tornado.web.HTTPError(400, str(error)) from None
+            await server.set_faults(faults)
+        elif action == "compact":
+            server.keyspace.compact(server.keyspace.revision)
+        elif action == "reset":
+            server.calls_by_kind.clear()
+        self.get(action)
+
+
+class StoreProcess:
+    """The stand-in as a process, as tests drive it."""
+
+    def __init__(self, process: processes.Process) -> None:
+        self.process = process
+        self.address: str = process.ready["address"]
+        self._admin: str = process.ready["admin"]
+
+    def set_faults(self, **fields: Any) -> None:
+        """Change some fields of `StoreFaults`."""
+        self._call("faults", json.dumps(fields).encode())
+
+    def compact(self) -> None:
+        """Forget all revisions but the present one."""
+        self._call("compact", b"")
+
+    def reset(self) -> None:
+        """Set the counts of calls to zero."""
+        self._call("reset", b"")
+
+    def state(self) -> dict[str, Any]:
+        """Return the counts, the faults and the revision."""
+        return self._call("state", None)
+
+    def _call(self, action: str, body: bytes | None) -> dict[str, Any]:
+        url = f"http://{self._admin}/{action}"
+        with urllib.request.urlopen(url, body, ADMIN_TIMEOUT) as answer:
+            return json.load(answer)
+
+    def __enter__(self) -> StoreProcess:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.process.terminate()
+
+
+def start() -> StoreProcess:
+    """Run the stand-in as a process of its own."""
+    return StoreProcess(processes.start("zinniahook_testkit.stores"))
+
+
+async def serve(host: str, port: int) -> None:
+    """Serve until SIGTERM."""
+    server = Server(host, port)
+    admin = bind_sockets(0, host, socket.AF_INET)
+    routes = [(r"/(faults|compact|reset|state)", AdminHandler, {"server": server})]
+    application = tornado.web.Application(routes, log_function=lambda handler: None)
+    HTTPServer(application).add_sockets(admin)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    expiring = asyncio.ensure_future(server.expire())
+    ready = {
+        "address": "{}:{}".format(*server.address),
+        "admin": "{}:{}".format(*admin[0].getsockname()),
+    }
+    print(json.dumps({"ready": ready}), flush=True)
+    await stopping.wait()
+    expiring.cancel()
+
+
+def main(*, host: str = "127.0.0.1", port: int = 0) -> None:
+    """Run the stand-in of the platform's key-value service.
+
+    Parameters
+    ----------
+    host : str
+        Loopback address to listen on.
+    port : int
+        Port of the service; 0 lets the system choose.
+    """
+    asyncio.run(serve(host, port))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
