--- a/packages/zinniahook-cli/src/zinniahook_cli/daemons.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/daemons.py
@@ -81,6 +81,11 @@
         self._context: ssl.SSLContext | None = None
         self._limit = asyncio.Semaphore(CALLS_LIMIT)
 
+    @property
+    def listed(self) -> tuple[Address, ...]:
+        """Control addresses from the settings."""
+        return self._settings.daemons
+
     async def survey(
         self,
         controls: Iterable[Address],
@@ -159,8 +164,11 @@
         return context
 
 
-def progress(generation: int, survey: Survey) -> Progress:
-    """Sort the daemons by whether they have ``generation`` in force."""
+def progress(generation: int, survey: Survey, unlisted: Iterable[str] = ()) -> Progress:
+    """Sort the daemons by whether they have ``generation`` in force.
+
+    ``unlisted`` are daemons that can't be asked; they count as lagging.
+    """
     in_force, lagging = [], []
     for reply in survey.answers_by_control.values():
         if reply.generation >= generation:
@@ -168,6 +176,7 @@
         else:
             lagging.append(f"{reply.name} (at {reply.generation})")
     lagging += [f"{one.control} (no answer: {one.reason})" for one in survey.silent]
+    lagging += [f"{name} (its address is unknown)" for name in unlisted]
     return Progress(generation, tuple(sorted(in_force)), tuple(sorted(lagging)))
 
 
--- a/packages/zinniahook-cli/src/zinniahook_cli/fleets.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/fleets.py
@@ -39,6 +39,16 @@
             for _, member in sorted(roster.by_name.items())
         )
 
+    @property
+    def unlisted(self) -> tuple[str, ...]:
+        """Daemons that learn from others but that nothing tells how to reach."""
+        replies = self.survey.answers_by_control.values()
+        known = {reply.name for reply in replies}
+        known.update(member.name for _, member in self.agents)
+        known.update(self.daemons_by_name)
+        named = {name for reply in replies for name in reply.subscribers}
+        return tuple(sorted(named - known))
+
     def reply(self, control: Address) -> StatusReply | None:
         """Return what the daemon at ``control`` answered."""
         return self.survey.answers_by_control.get(control)
@@ -86,10 +96,10 @@
         if member.state is not AgentState.DOWN
     ]
     controls += [daemon.control for daemon in daemons_by_name.values()]
+    controls += daemons.listed
     survey = Survey({}, ())
     if ask:
         survey = await daemons.survey(controls, counters=counters)
-        survey = await _ask_subscribers(daemons, survey, counters)
     return Fleet(rosters, daemons_by_name, data_centres, survey)
 
 
@@ -100,21 +110,3 @@
         for name, member in roster.by_name.items()
         if name not in leaving
     )
-
-
-async def _ask_subscribers(daemons: Daemons, survey: Survey, counters: bool) -> Survey:
-    """Ask the daemons that only others know of, until none is new."""
-    answers = dict(survey.answers_by_control)
-    silent = {one.control: one for one in survey.silent}
-    while True:
-        known = {
-            Address.parse(text)
-            for reply in answers.values()
-            for text in reply.subscribers
-        }
-        new = known - answers.keys() - silent.keys()
-        if not new:
-            return Survey(answers, tuple(silent.values()))
-        more = await daemons.survey(new, counters=counters)
-        answers.update(more.answers_by_control)
-        silent.update({one.control: one for one in more.silent})
--- a/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
@@ -7,8 +7,9 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING, NamedTuple
 
+from zinniahook_core import configuration
 from zinniahook_core.codes import Code
-from zinniahook_core.configuration import Document, KeyRing
+from zinniahook_core.configuration import Document
 from zinniahook_store import configurations
 from zinniahook_store.configurations import Committed, Outcome, Refused, Stage, Stored
 
@@ -77,18 +78,18 @@
     author: str,
     operation: str,
     *,
-    keys: KeyRing | None = None,
+    take_over: bool = False,
 ) -> Outcome:
     """Commit everywhere at once, or in stages if a risky setting changes."""
-    plan = await _plan(session, base, document)
+    plan = [] if take_over else await _plan(session, base, document)
     if not plan:
         return await configurations.commit(
-            session.store, base, document, author, operation, keys=keys
+            session.store, base, document, author, operation, take_over=take_over
         )
     first, *later = plan
     before = await broken_flows(session)
     outcome = await configurations.commit(
-        session.store, base, document, author, operation, keys=keys, stage=first
+        session.store, base, document, author, operation, stage=first
     )
     if not isinstance(outcome, Committed):
         return outcome
@@ -110,11 +111,15 @@
 ) -> list[Stage]:
     """Return the stages before the last one, which is everywhere."""
     found = []
+    stage = Stage(previous)
     for name in order:
         if name == "instance" and instances:
-            found.append(Stage(previous, instances=(instances[0],)))
+            # A stage includes the earlier ones: no daemon may go back.
+            stage = stage._replace(instances=(instances[0],))
+            found.append(stage)
         elif name == "data-centre" and len(data_centres) > 1:
-            found.append(Stage(previous, data_centres=(data_centres[0],)))
+            stage = stage._replace(data_centres=(data_centres[0],))
+            found.append(stage)
     return found
 
 
@@ -177,8 +182,9 @@
     session.say(f"rollout stopped: {reason}")
     now = await configurations.read(session.store)
     operation = configurations.new_operation()
+    document = configuration.retire(base.document, now.document)
     outcome = await configurations.commit(
-        session.store, now, base.document, author, operation, keys=now.keys
+        session.store, now, document, author, operation, take_over=True
     )
     if isinstance(outcome, Committed):
         reason += f"; generation {outcome.generation} has the old content"
@@ -187,7 +193,7 @@
 
 def _progress(generation: int, fleet: Fleet, within: Stage | None) -> Progress:
     if within is None:
-        return progress(generation, fleet.survey)
+        return progress(generation, fleet.survey, fleet.unlisted)
     answers = {
         control: reply
         for control, reply in fleet.survey.answers_by_control.items()
--- a/packages/zinniahook-cli/src/zinniahook_cli/sessions.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/sessions.py
@@ -100,7 +100,7 @@
         base: Stored,
         document: Document,
         *,
-        keys: configuration.KeyRing | None = None,
+        take_over: bool = False,
     ) -> Answer:
         """Check who asks, commit, and say what became of it."""
         operator = self.operator
@@ -114,7 +114,7 @@
             )
         operation = configurations.new_operation()
         outcome = await rollouts.commit(
-            self, base, document, operator, operation, keys=keys
+            self, base, document, operator, operation, take_over=take_over
         )
         return await self.told(base, outcome)
 
@@ -245,7 +245,7 @@
     base = await _base(session)
     old = await views.stored_at(session, generation, statement.generation)
     document = configuration.retire(old.document, base.document)
-    return await session.commit(base, document)
+    return await session.commit(base, document, take_over=True)
 
 
 @_runs(statements.Export)
--- a/packages/zinniahook-cli/src/zinniahook_cli/views.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/views.py
@@ -328,7 +328,7 @@
     rows = tuple(
         (stored.generation, centre, *row) for centre, row in sorted(counts.items())
     )
-    lagging = progress(stored.generation, fleet.survey).lagging
+    lagging = progress(stored.generation, fleet.survey, fleet.unlisted).lagging
     notes = tuple(f"lags: {one}" for one in lagging)
     return Table(("generation", "data_centre", "daemons", "in_force"), rows, notes)
 
