Reload certificates whole, leave stale parents, test the distribution

A reloaded authority was only added to the old one, and a daemon changed parents without end while the store was down.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/certificates.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/certificates.py
@@ -31,16 +31,15 @@
 
     def __init__(self, settings: ControlSettings) -> None:
         self._settings = settings
-        self.server = _context(ssl.PROTOCOL_TLS_SERVER)
-        self.client = _context(ssl.PROTOCOL_TLS_CLIENT)
         self.reload()
+        self.server = _context(ssl.PROTOCOL_TLS_SERVER, settings)
+        # A listener keeps the context it was started with; this hands each
+        # handshake over to the one that was read last.
+        self.server.sni_callback = self._use_newest
 
     def reload(self) -> None:
         """Read the files again; new handshakes use what they hold now.
 
-        An authority that was taken out of its file stays trusted until the
-        process ends: the context only ever adds to its store.
-
         Raises
         ------
         ZinniahookError
@@ -49,22 +48,28 @@
         """
         settings = self._settings
         try:
-            for context in (self.server, self.client):
-                context.load_cert_chain(settings.certificate, settings.key)
-                context.load_verify_locations(settings.authority)
+            server = _context(ssl.PROTOCOL_TLS_SERVER, settings)
+            client = _context(ssl.PROTOCOL_TLS_CLIENT, settings)
         except (ssl.SSLError, OSError) as error:
-            reason = f"{settings.certificate}, {settings.key}, {settings.authority}"
+            files = f"{settings.certificate}, {settings.key}, {settings.authority}"
             raise ZinniahookError(
-                f"no usable certificate in {reason}: {error}",
+                f"no usable certificate in {files}: {error}",
                 Code.SETTINGS_FILE_MISSING,
             ) from None
+        self._newest = server
+        self.client = client
+
+    def _use_newest(self, connection: ssl.SSLObject, *_: object) -> None:
+        connection.context = self._newest
 
 
-def _context(protocol: int) -> ssl.SSLContext:
+def _context(protocol: int, settings: ControlSettings) -> ssl.SSLContext:
     """Return a context that speaks HTTP/2 and asks for a certificate."""
     context = ssl.SSLContext(protocol)
     context.check_hostname = False
     context.verify_mode = ssl.CERT_REQUIRED
     context.minimum_version = ssl.TLSVersion.TLSv1_3
     context.set_alpn_protocols(["h2"])
+    context.load_cert_chain(settings.certificate, settings.key)
+    context.load_verify_locations(settings.authority)
     return context
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/control.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/control.py
@@ -146,7 +146,7 @@
         if node.configuration is None:
             fields = StatusFields(
                 state=NOT_READY,
-                reason="no configuration learned yet",
+                reason=node.distribution.reason,
                 code=int(Code.NOT_READY),
             )
         if node.stopping.is_set():
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
@@ -36,12 +36,14 @@
 
 __all__ = ["Distribution"]
 
-TOLERANCE = 10.0
-"""Seconds that a parent may be cut off from the store before others are tried."""
+TOLERANCE = 6.0
+"""Seconds that a source may be cut off from the store before others are tried."""
 
-TOLERANCE_LIMIT = 320.0
-"""Most seconds of it. With the store down every parent is cut off, and changing
-between them again and again would be of no use to anyone."""
+PATIENCE = 2.0
+PATIENCE_LIMIT = 320.0
+"""Least and most seconds that a daemon stays with a source that is cut off, once
+every source was. With the store down none is better, and changing between them
+again and again would be of no use to anyone."""
 
 BACKOFF = 0.2
 BACKOFF_LIMIT = 3.0
@@ -74,8 +76,6 @@
         Set once a configuration is in force.
     suspicion : asyncio.Event
         Set while another daemon is known to have a newer generation.
-    tolerance : float
-        Seconds that a source may be cut off from the store.
     depth : int
         Steps between this daemon and the store.
     """
@@ -91,10 +91,11 @@
         self.generations = Generations(settings.name, settings.data_centre, services)
         self.learned = asyncio.Event()
         self.suspicion = asyncio.Event()
-        self.tolerance = TOLERANCE
         self.depth = 0
         self.origin = Origin(self, node.store)
         self._heard_at = -float("inf")
+        self._patience = 0.0
+        self._followed_at = 0.0
         self._in_force_at = 0.0
         self._suspected_at = -float("inf")
         self._failures_by_source: dict[str, str] = {}
@@ -118,9 +119,22 @@
         """Seconds since the generation in force was put so."""
         return time.monotonic() - self._in_force_at if self.configuration else 0.0
 
+    @property
+    def reason(self) -> str:
+        """Why there is no configuration yet: what each source answered."""
+        failures = "; ".join(
+            f"{name}: {reason}" for name, reason in self._failures_by_source.items()
+        )
+        return f"no configuration learned yet ({failures or 'store not asked yet'})"
+
+    @property
+    def control(self) -> str:
+        """Control address of this daemon, by which its parent knows it."""
+        return str(self._node.control_address)
+
     @property
     def subscribers(self) -> list[str]:
-        """Names of the daemons that learn from this one."""
+        """Control addresses of the daemons that learn from this one."""
         return sorted(each.subscriber for each in self._subscriptions)
 
     @property
@@ -146,10 +160,20 @@
     # What sources tell
 
     def heard(self, age: float, depth: int) -> None:
-        """Note that the store was heard of ``age`` seconds ago."""
-        self._heard_at = max(self._heard_at, time.monotonic() - age)
+        """Note that the followed source heard of the store ``age`` seconds ago.
+
+        Raises
+        ------
+        SourceError
+            If that is too long ago, and another source may be better.
+        """
+        now = time.monotonic()
+        self._heard_at = max(self._heard_at, now - age)
         self.depth = depth
-        self.tolerance = TOLERANCE
+        if age <= TOLERANCE:
+            self._patience = 0.0
+        elif self._has_parents() and now - self._followed_at > self._patience:
+            raise SourceError("cut off from the store")
 
     def apply(self) -> None:
         """Put the wanted generation in force if it is whole and newer.
@@ -221,13 +245,13 @@
     async def _run(self) -> None:
         pause = BACKOFF
         while True:
-            before = self._heard_at
             for source in self._sources():
                 await self._follow(source)
-            if self._heard_at > before:
+            if self.age <= TOLERANCE:
                 pause = BACKOFF
             else:
-                self.tolerance = min(TOLERANCE_LIMIT, self.tolerance * 2)
+                longer = max(PATIENCE, self._patience * 2)
+                self._patience = min(PATIENCE_LIMIT, longer)
             # Jitter: all that lost the same parent would come back at once.
             await asyncio.sleep(pause * random.uniform(0.5, 1.5))
             pause = min(BACKOFF_LIMIT, pause * 2)
@@ -237,9 +261,8 @@
         by_name = {
             str(address): address for address in self._node.settings.control.parents
         }
-        own = str(self._node.control_address)
         for name in rendezvous.rank(self.name.encode(), by_name):
-            if name != own:
+            if name != self.control:
                 yield Parent(self, by_name[name])
         yield self.origin
 
@@ -247,6 +270,7 @@
         """Learn from a source until it fails."""
         limit = RETURN if self._has_parents() and source is self.origin else None
         self.suspicion.clear()
+        self._followed_at = time.monotonic()
         reason = "time to try the parents again"
         try:
             async with asyncio.timeout(limit):
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from tornado.ioloop import PeriodicCallback
-from zinniahook_core.codes import Code
+from zinniahook_core.codes import Code, ZinniahookError
 from zinniahook_core.effects import WriteRoster
 from zinniahook_core.events import RosterWritten
 from zinniahook_core.models import Address, Configuration, Roster
@@ -230,10 +230,15 @@
         self._reload_callbacks.append(callback)
 
     def reload(self) -> None:
-        """Read the certificates again."""
-        self.certificates.reload()
-        for callback in self._reload_callbacks:
-            callback()
+        """Read the certificates again; those in use stay if they are broken."""
+        try:
+            self.certificates.reload()
+            for callback in self._reload_callbacks:
+                callback()
+        except (ZinniahookError, OSError, ValueError) as error:
+            self.count("certificates.refused")
+            self.log("certificates-refused", reason=str(error))
+            return
         self.log("certificates-reloaded")
 
     # Metrics, logs and time
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/origin.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/origin.py
@@ -18,6 +18,7 @@
     Item,
     NotWritten,
     Store,
+    Watch,
     Written,
 )
 from zinniahook_wire import documents
@@ -32,7 +33,10 @@
 EVERYTHING = "/zinniahook/"
 """Prefix of every key; an entry watches it with one watch."""
 
-HEARD_INTERVAL = 1.0
+SILENCE_LIMIT = 5.0
+"""Seconds that the first read of a watch may take."""
+
+HEARD_INTERVAL = 0.5
 """Seconds between looks at when the watches last heard of the store."""
 
 
@@ -54,7 +58,7 @@
         self._store = store
 
     async def follow(self) -> None:
-        """Learn from the store; ends only if it didn't answer at first.
+        """Learn from the store.
 
         Raises
         ------
@@ -66,11 +70,14 @@
         except ZinniahookError as error:
             raise SourceError(str(error)) from None
         self._distribution.following(self)
-        async with asyncio.TaskGroup() as group:
-            watches = [self._store.watch(prefix) for prefix in self._prefixes()]
-            for watch in watches:
-                group.create_task(self._read(watch))
-            group.create_task(self._note_age(watches))
+        watches = [self._store.watch(prefix) for prefix in self._prefixes()]
+        readers = [asyncio.create_task(self._read(watch)) for watch in watches]
+        try:
+            await self._note_age(watches, readers)
+        finally:
+            for reader in readers:
+                reader.cancel()
+            await asyncio.gather(*readers, return_exceptions=True)
 
     def _prefixes(self) -> list[str]:
         """Return what to watch: for an agent little, for an entry all."""
@@ -79,13 +86,21 @@
             return [EVERYTHING]
         return [documents.POINTER_KEY, *map(documents.roster_key, sorted(services))]
 
-    async def _note_age(self, watches: list) -> None:
+    async def _note_age(
+        self, watches: list[Watch], readers: list[asyncio.Task]
+    ) -> None:
+        started = time.monotonic()
         while True:
             heard = min(watch.heard for watch in watches)
-            self._distribution.heard(time.monotonic() - heard, depth=1)
+            # Before its first answer a watch says that it never heard.
+            if heard > 0 or time.monotonic() - started > SILENCE_LIMIT:
+                self._distribution.heard(time.monotonic() - heard, depth=1)
+            for reader in readers:
+                if reader.done():
+                    reader.result()
             await asyncio.sleep(HEARD_INTERVAL)
 
-    async def _read(self, watch) -> None:
+    async def _read(self, watch: Watch) -> None:
         async with contextlib.aclosing(watch):
             async for change in watch:
                 try:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
@@ -134,7 +134,7 @@
         for name, roster in distribution.rosters_by_service.items():
             revisions_by_service[name] = roster.revision
         return SubscribeRequest(
-            subscriber=distribution.name,
+            subscriber=distribution.control,
             generation=distribution.generations.pointer.generation,
             digests=distribution.generations.digests,
             revisions_by_service=revisions_by_service,
@@ -174,8 +174,6 @@
             raise SourceError("the parent has learned nothing yet")
         if digest.depth >= DEEPEST:
             raise SourceError(f"too far from the store: {digest.depth} steps")
-        if digest.age > distribution.tolerance:
-            raise SourceError(f"heard of the store {digest.age:.0f} s ago")
         distribution.following(self)
         distribution.heard(digest.age, digest.depth + 1)
         services = distribution.generations.services
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/subscriptions.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/subscriptions.py
@@ -22,7 +22,7 @@
 
 __all__ = ["DIGEST_INTERVAL", "Subscription"]
 
-DIGEST_INTERVAL = 2.0
+DIGEST_INTERVAL = 1.0
 """Seconds between digests, by which a subscriber finds what it lost."""
 
 UPDATE_SIZE = 256 * 1024
--- a/packages/zinniahook-daemon/tests/conftest.py
+++ b/packages/zinniahook-daemon/tests/conftest.py
@@ -1,74 +1,111 @@
-"""Certificates and settings for the tests of the daemon."""
+"""Nodes in this process, for the tests of the daemon."""
 
 from __future__ import annotations
 
-import datetime
-import ipaddress
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
 import pytest
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509.oid import NameOID
-
-DAY = datetime.timedelta(days=1)
-
-
-class Authority:
-    """Signs certificates and writes them as PEM files into a directory."""
-
-    def __init__(self, directory: Path, name: str) -> None:
-        self.directory = directory
-        self.name = name
-        self._key = ec.generate_private_key(ec.SECP256R1())
-        self._certificate = self._sign(name, self._key, is_authority=True)
-        self.file = self._write("authority.pem", self._certificate)
-
-    def issue(self, name: str) -> tuple[Path, Path]:
-        """Return the files of a new certificate and its key."""
-        key = ec.generate_private_key(ec.SECP256R1())
-        certificate = self._write(f"{name}.pem", self._sign(name, key, False))
-        private = key.private_bytes(
-            serialization.Encoding.PEM,
-            serialization.PrivateFormat.PKCS8,
-            serialization.NoEncryption(),
+from zinniahook_core.configuration import Document, KeyRing
+from zinniahook_core.models import Address, Key, Service
+from zinniahook_daemon.node import Node
+from zinniahook_daemon.settings import (
+    AgentSettings,
+    ControlSettings,
+    EntrySettings,
+    Role,
+    Settings,
+    StoreSettings,
+    TunnelSettings,
+)
+from zinniahook_testkit.certificates import Authority, Files
+from zinniahook_wire import documents
+from zinniahook_wire.documents import Parts, Pointer
+
+ANY_PORT = Address("127.0.0.1", 0)
+KEYS = KeyRing({1: Key(1, b"f" * 32)}, {1: Key(1, b"t" * 32)}, 1, 1)
+PATIENCE = 20.0
+
+
+class Nodes:
+    """Makes nodes without a store and hands them generations."""
+
+    def __init__(self, folder: Path) -> None:
+        (folder / "ours").mkdir()
+        (folder / "foreign").mkdir()
+        self.authority = Authority(folder / "ours")
+        self.foreign = Authority(folder / "foreign")
+
+    @contextlib.asynccontextmanager
+    async def start(
+        self, name: str, *parents: Address, files: Files | None = None, service=""
+    ) -> AsyncIterator[Node]:
+        """Start a node; an agent's if ``service`` is given."""
+        files = files or self.authority.issue(name)
+        agent = AgentSettings(service, ANY_PORT, files.certificate, files.key)
+        settings = Settings(
+            role=Role.AGENT if service else Role.ENTRY,
+            name=name,
+            data_centre="thies-1",
+            store=StoreSettings((Address("127.0.0.1", closed_port()),), 0.2),
+            tunnel=TunnelSettings(ANY_PORT),
+            control=ControlSettings(ANY_PORT, *files, parents=parents),
+            entry=EntrySettings(drain=0.0),
+            agent=agent if service else None,
         )
-        file = self.directory / f"{self.name}-{name}.key"
-        file.write_bytes(private)
-        return certificate, file
-
-    def _write(self, name: str, certificate: x509.Certificate) -> Path:
-        file = self.directory / f"{self.name}-{name}"
-        file.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
-        return file
-
-    def _sign(self, name: str, key, is_authority: bool) -> x509.Certificate:
-        now = datetime.datetime.now(datetime.UTC)
-        local = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
-        return (
-            x509.CertificateBuilder()
-            .subject_name(_name(name))
-            .issuer_name(_name(self.name))
-            .public_key(key.public_key())
-            .serial_number(x509.random_serial_number())
-            .not_valid_before(now - DAY)
-            .not_valid_after(now + DAY)
-            .add_extension(x509.BasicConstraints(is_authority, None), critical=True)
-            .add_extension(x509.SubjectAlternativeName([local]), critical=False)
-            .sign(self._key, hashes.SHA256())
+        node = Node(settings)
+        await node.start()
+        try:
+            yield node
+        finally:
+            await node.stop()
+
+    def commit(self, node: Node, generation: int, *services: Service) -> None:
+        """Hand a generation to a node, as the store would."""
+        parts = self.parts(generation, *services)
+        generations = node.distribution.generations
+        generations.add_manifest(documents.manifest_to_json(parts.manifest))
+        generations.add_values(
+            {key.rpartition("/")[2]: one for key, one in parts.values_by_key.items()}
         )
+        generations.point(documents.pointer_to_json(Pointer(generation, "op")))
+        node.distribution.apply()
+
+    def parts(self, generation: int, *services: Service) -> Parts:
+        """Return the values of a generation."""
+        return documents.split(
+            Document({service.name: service for service in services}),
+            KEYS,
+            generation=generation,
+            parent=generation - 1,
+            author="operator",
+            time=0.0,
+            operation=f"op-{generation}",
+        )
+
+
+def closed_port() -> int:
+    """Return a port on which nobody listens."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
 
 
-def _name(text: str) -> x509.Name:
-    return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
+async def until(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds; fail after a generous time."""
+    async with asyncio.timeout(PATIENCE):
+        while not condition():
+            await asyncio.sleep(0.01)
 
 
 @pytest.fixture
-def authority(tmp_path: Path) -> Authority:
-    return Authority(tmp_path, "ours")
+def nodes(tmp_path: Path) -> Nodes:
+    return Nodes(tmp_path)
 
 
 @pytest.fixture
-def foreign_authority(tmp_path: Path) -> Authority:
-    return Authority(tmp_path, "foreign")
+def eventually():
+    return until
--- /dev/null
+++ b/packages/zinniahook-daemon/tests/test_distribution.py
@@ -0,0 +1,304 @@
+"""How daemons learn what is in force, from each other and from the store."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+
+import pytest
+from grpclib.client import Channel
+from grpclib.exceptions import StreamTerminatedError
+from zinniahook_core.codes import Code
+from zinniahook_core.models import Address, AgentState, Member, Roster, Service
+from zinniahook_daemon.certificates import Certificates
+from zinniahook_daemon.generations import Generations
+from zinniahook_wire import documents
+from zinniahook_wire.control_grpc import ControlStub
+from zinniahook_wire.control_pb2 import DrainRequest, StatusRequest
+from zinniahook_wire.documents import Pointer
+
+TALLY = Service("tally", 1, Address("127.0.0.1", 7001))
+LEDGER = Service("ledger", 2, Address("127.0.0.1", 7002))
+
+
+def roster(service: str, revision: int, *names: str) -> Roster:
+    address = Address("127.0.0.1", 9000)
+    members = {
+        name: Member(name, address, address, address, "thies-1", 1, AgentState.READY, 4)
+        for name in names
+    }
+    return Roster(service, revision, members)
+
+
+class TestLearningFromParents:
+    def test_a_restarted_daemon_learns_with_the_store_down(self, nodes, eventually):
+        """Symptom: a daemon restarted during an outage of the store stays idle.
+
+        Sequence: the store is down, a daemon starts, a peer has all it needs.
+        Cause: it would ask the store only.
+        """
+
+        async def run():
+            async with nodes.start("parent") as parent:
+                nodes.commit(parent, 3, TALLY, LEDGER)
+                parent.distribution.take_roster(roster("tally", 8, "a", "b"))
+                async with nodes.start("child", parent.control_address) as child:
+                    await asyncio.wait_for(child.ready(), 20)
+                    assert child.generation == 3
+                    assert child.configuration == parent.configuration
+                    await nodes_agree(parent, child)
+                    await eventually(lambda: child.distribution.depth == 1)
+
+        asyncio.run(run())
+
+    def test_changes_are_pushed(self, nodes, eventually):
+        async def run():
+            async with (
+                nodes.start("parent") as parent,
+                nodes.start("child", parent.control_address) as child,
+            ):
+                nodes.commit(parent, 1, TALLY)
+                await eventually(lambda: child.generation == 1)
+                nodes.commit(parent, 2, TALLY, LEDGER)
+                await eventually(lambda: child.generation == 2)
+                assert set(child.configuration.services_by_name) == {"tally", "ledger"}
+                parent.distribution.take_roster(roster("ledger", 5, "c"))
+                await nodes_agree(parent, child)
+
+        asyncio.run(run())
+
+    def test_an_agent_learns_its_own_service_only(self, nodes, eventually):
+        async def run():
+            async with nodes.start("parent") as parent:
+                nodes.commit(parent, 1, TALLY, LEDGER)
+                parent.distribution.take_roster(roster("ledger", 4, "c"))
+                parent.distribution.take_roster(roster("tally", 5, "a"))
+                start = nodes.start("a", parent.control_address, service="tally")
+                async with start as agent:
+                    await eventually(lambda: agent.distribution.rosters_by_service)
+                    assert set(agent.configuration.services_by_name) == {"tally"}
+                    assert set(agent.distribution.rosters_by_service) == {"tally"}
+
+        asyncio.run(run())
+
+    def test_a_lagging_parent_is_left(self, nodes, eventually):
+        """Symptom: an accepted change never reaches some daemons.
+
+        Sequence: a parent is cut off from the store, its child is told of a
+        newer generation by a tunnel datagram, another parent has it.
+        Cause: a quiet parent looks the same as a parent that lags.
+        """
+
+        async def run():
+            async with nodes.start("p1") as first, nodes.start("p2") as second:
+                nodes.commit(first, 1, TALLY)
+                nodes.commit(second, 1, TALLY)
+                parents = (first.control_address, second.control_address)
+                async with nodes.start("child", *parents) as child:
+                    await eventually(
+                        lambda: any(
+                            one.distribution.subscribers for one in (first, second)
+                        )
+                    )
+                    followed = first if first.distribution.subscribers else second
+                    other = second if followed is first else first
+                    nodes.commit(other, 2, TALLY, LEDGER)
+                    child.distribution.suspect(2)
+                    await eventually(lambda: child.generation == 2)
+
+        asyncio.run(run())
+
+    def test_a_dead_parent_is_replaced(self, nodes, eventually):
+        """Symptom: daemons stop hearing of changes after one was killed.
+
+        Sequence: the followed parent ends, the other one gets a change.
+        Cause: the child would wait for its own parent to come back.
+        """
+
+        async def run():
+            async with nodes.start("p2") as second:
+                async with nodes.start("p1") as first:
+                    nodes.commit(first, 1, TALLY)
+                    parents = (first.control_address, second.control_address)
+                    child_at = nodes.start("child", *parents)
+                    child = await child_at.__aenter__()
+                    await eventually(lambda: child.generation == 1)
+                nodes.commit(second, 2, TALLY)
+                await eventually(lambda: child.generation == 2)
+                await child_at.__aexit__(None, None, None)
+
+        asyncio.run(run())
+
+
+class TestNeverBack:
+    def test_a_lower_generation_is_refused(self, nodes):
+        """Symptom: an accepted change reverts on a daemon.
+
+        Sequence: a daemon changes to a source that lags behind.
+        Cause: the source's word would be taken without a comparison.
+        """
+
+        async def run():
+            async with nodes.start("node") as node:
+                nodes.commit(node, 5, TALLY)
+                nodes.commit(node, 4, TALLY, LEDGER)
+                assert node.generation == 5
+                assert set(node.configuration.services_by_name) == {"tally"}
+
+        asyncio.run(run())
+
+    def test_a_lower_revision_is_refused(self, nodes):
+        async def run():
+            async with nodes.start("node") as node:
+                node.distribution.take_roster(roster("tally", 5, "a"))
+                node.distribution.take_roster(roster("tally", 4, "b"))
+                known = node.distribution.rosters_by_service["tally"]
+                assert set(known.by_name) == {"a"}
+
+        asyncio.run(run())
+
+    def test_a_value_with_another_digest_is_refused(self):
+        generations = Generations("a", "thies-1", None)
+        with pytest.raises(documents.DocumentError):
+            generations.add_values({documents.digest_of(b"one"): b"other"})
+
+    def test_stages_only_widen(self):
+        generations = Generations("entry-2", "thies-1", None)
+        stages = [
+            Pointer(7, "op", 6, ("entry-1",)),
+            Pointer(7, "op", 6, ("entry-1",), ("thies-1",)),
+            Pointer(7, "op"),
+        ]
+        wanted = []
+        for stage in (*stages, *stages):
+            generations.point(documents.pointer_to_json(stage))
+            wanted.append(generations.wanted)
+        assert wanted == [6, 7, 7, 7, 7, 7]
+
+
+class TestAuthentication:
+    def test_a_foreign_certificate_gets_nothing(self, nodes):
+        """Symptom: a stranger reads the keys of the configuration.
+
+        Sequence: a process with a certificate of another authority calls.
+        Cause: TLS without a check of the client's certificate.
+        """
+
+        async def run():
+            async with nodes.start("parent") as parent:
+                nodes.commit(parent, 1, TALLY)
+                context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+                context.check_hostname = False
+                context.verify_mode = ssl.CERT_NONE
+                context.set_alpn_protocols(["h2"])
+                files = nodes.foreign.issue("stranger")
+                context.load_cert_chain(files.certificate, files.key)
+                channel = Channel(*parent.control_address, ssl=context)
+                try:
+                    with pytest.raises((OSError, StreamTerminatedError)):
+                        await ControlStub(channel).Status(StatusRequest())
+                finally:
+                    channel.close()
+
+        asyncio.run(run())
+
+    def test_certificates_are_reloaded(self, nodes, eventually):
+        """Symptom: calls fail once a certificate has been replaced.
+
+        Sequence: the files change under a running daemon, which is told.
+        Cause: the context would keep what it read at the start.
+        """
+
+        async def run():
+            files = nodes.authority.issue("node")
+            async with nodes.start("node", files=files) as node:
+                nodes.commit(node, 1, TALLY)
+                old = node.certificates.client
+                for former, new in zip(files, nodes.foreign.issue("node"), strict=True):
+                    former.write_bytes(new.read_bytes())
+                node.reload()
+                async with nodes.start(
+                    "child", node.control_address, files=nodes.foreign.issue("child")
+                ) as child:
+                    await eventually(lambda: child.generation == 1)
+                with pytest.raises((OSError, StreamTerminatedError)):
+                    await call(node, "Status", StatusRequest(), old)
+
+        asyncio.run(run())
+
+    def test_a_broken_file_leaves_the_old_certificate(self, nodes):
+        async def run():
+            files = nodes.authority.issue("node")
+            async with nodes.start("node", files=files) as node:
+                files.certificate.write_text("no certificate")
+                node.reload()
+                assert node.metrics.counters_by_name["certificates.refused"] == 1
+                assert isinstance(node.certificates, Certificates)
+
+        asyncio.run(run())
+
+
+class TestOperatorsCalls:
+    def test_status_tells_what_is_in_force(self, nodes):
+        async def run():
+            async with nodes.start("entry-1") as node:
+                nodes.commit(node, 4, TALLY)
+                node.distribution.take_roster(roster("tally", 9, "a"))
+                node.count("entry.dropped", code=Code.NO_AGENT.name)
+                node.histogram("tally", "ticket").record(0.25)
+                request = StatusRequest(counters=True, rosters=True)
+                status = await call(node, "Status", request)
+                assert (status.name, status.role) == ("entry-1", "entry")
+                assert status.generation == 4
+                assert dict(status.revisions_by_service) == {"tally": 9}
+                assert dict(status.drops_by_code) == {int(Code.NO_AGENT): 1}
+                (histogram,) = status.histograms
+                assert histogram.count == 1
+                assert histogram.p50 == pytest.approx(0.25, rel=0.02)
+
+        asyncio.run(run())
+
+    def test_not_ready_says_why(self, nodes):
+        async def run():
+            async with nodes.start("entry-1") as node:
+                status = await call(node, "Status", StatusRequest())
+                assert status.state == "not-ready"
+                assert status.code == Code.NOT_READY
+                assert "store" in status.reason
+
+        asyncio.run(run())
+
+    def test_the_last_target_is_not_drained_unforced(self, nodes):
+        async def run():
+            async with nodes.start("a", service="tally") as node:
+                node.distribution.take_roster(roster("tally", 9, "a"))
+                drained = []
+                node.on_drain(drained.append)
+                reply = await call(node, "Drain", DrainRequest(seconds=3))
+                assert reply.code == Code.WOULD_EMPTY_SERVICE
+                assert drained == []
+                reply = await call(node, "Drain", DrainRequest(seconds=3, force=True))
+                assert reply.code == Code.OK
+                assert drained == [3.0]
+
+        asyncio.run(run())
+
+
+async def call(node, name, request, context=None):
+    """Call a node's control server as one of its own kind."""
+    context = context or node.certificates.client
+    channel = Channel(*node.control_address, ssl=context)
+    try:
+        return await getattr(ControlStub(channel), name)(request)
+    finally:
+        channel.close()
+
+
+async def nodes_agree(parent, child):
+    """Wait until both hold the same rosters."""
+    async with asyncio.timeout(20):
+        while (
+            child.distribution.rosters_by_service
+            != parent.distribution.rosters_by_service
+        ):
+            await asyncio.sleep(0.01)
