testkit: both deployments, open-loop load, invariant checks, demo

A cluster starts store, fabric, targets, agents and entries as processes; loads keep the callers' records and targets their ledgers; checks compare the two. The demo kills an entry, drains a target and changes the configuration meanwhile.

--- a/packages/zinniahook-caller/src/zinniahook_caller/adapters.py
+++ b/packages/zinniahook-caller/src/zinniahook_caller/adapters.py
@@ -82,15 +82,27 @@
 
     A connection that the server wants to leave (GOAWAY), or that was lost,
     is replaced for new requests; the answers still due on it may finish.
+
+    Attributes
+    ----------
+    opened, moves : int
+        Connections opened, and how often one that fell silent went on from
+        a new port.
     """
 
     def __init__(self, options: Options) -> None:
         super().__init__(options)
         self.opened = 0
+        self._moves = 0
         self._connection: Http3Connection | None = None
         self._leaving: list[Http3Connection] = []
         self._lock = asyncio.Lock()
 
+    @property
+    def moves(self) -> int:
+        """How often a connection moved to a new port."""
+        return self._moves + sum(each.moves for each in self._held())
+
     @property
     def connection(self) -> Http3Connection | None:
         """The connection for new requests, if there is one."""
@@ -105,9 +117,8 @@
 
     async def close(self) -> None:
         """Close every connection."""
-        for connection in [self._connection, *self._leaving]:
-            if connection is not None:
-                connection.shut()
+        for connection in self._held():
+            self._shut(connection)
         self._connection = None
         self._leaving.clear()
 
@@ -130,9 +141,17 @@
     def _close_idle(self) -> None:
         for connection in list(self._leaving):
             if connection.lost or not connection.busy:
-                connection.shut()
+                self._shut(connection)
                 self._leaving.remove(connection)
 
+    def _held(self) -> list[Http3Connection]:
+        current = [] if self._connection is None else [self._connection]
+        return current + self._leaving
+
+    def _shut(self, connection: Http3Connection) -> None:
+        self._moves += connection.moves
+        connection.shut()
+
     async def _connect(self) -> Http3Connection:
         options = self.options
         quic = WindowedQuicConnection(configuration=self._configuration())
--- a/packages/zinniahook-caller/src/zinniahook_caller/sessions.py
+++ b/packages/zinniahook-caller/src/zinniahook_caller/sessions.py
@@ -120,6 +120,11 @@
     rng : random.Random, optional
         Source of the jitter.
 
+    Attributes
+    ----------
+    cuts : int
+        Attempts whose answer was cut, or whose connection was lost.
+
     Examples
     --------
     >>> async with Session("127.0.0.1:4433", ca="ca.pem") as session:
@@ -149,6 +154,7 @@
         )
         self.adapter: Adapter = adapters_by_scheme[scheme](options)
         self.deadline = deadline
+        self.cuts = 0
         self._backoff = backoff or Backoff()
         self._rng = rng or random.Random()
 
@@ -289,6 +295,7 @@
     async def _retry(self, call: Call, error: CallerError) -> None:
         """Wait after a lost attempt, or raise if it must not be repeated."""
         if isinstance(error, AnswerCutError | ConnectionLostError):
+            self.cuts += 1
             call.maybe_started = True
             call.in_progress = False
             if not call.request.repeatable:
--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/demo.py
@@ -0,0 +1,207 @@
+"""Both deployments under load while things change: ``make demo``.
+
+Each deployment runs with the sizes of today. While feeds, tickets and exports
+go on, one entry is killed, one target drains and a configuration change is
+made. The figures come from the targets' and the callers' own records. The
+exit status is 1 if an invariant was broken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+import defopt
+from zinniahook_core.configuration import Document
+
+from .checks import Evidence, Summary, Violation, check, summarize
+from .clusters import Cluster
+from .deployments import DEPLOYMENTS_BY_NAME, Deployment
+
+__all__ = ["Report", "main", "run"]
+
+SETTLED = 3.0
+"""Seconds of load before anything happens."""
+
+BETWEEN = 1.5
+"""Seconds between the changes."""
+
+NO_NEW_WORK = 4.0
+"""Seconds after which a leaving target must receive no new work."""
+
+IN_FORCE = 5.0
+"""Seconds within which a change must be in force everywhere."""
+
+QUANTILES = ("p50", "p99", "p100")
+
+LOG_SHOWN = 2000
+"""Characters of the log shown when something failed."""
+
+
+class Report(NamedTuple):
+    """What one deployment's run showed."""
+
+    summaries: tuple[Summary, ...]
+    violations: tuple[Violation, ...]
+    generation: int
+    in_force: float
+    seconds: float
+
+
+async def run(deployment: Deployment, folder: Path, seed: int) -> Report:
+    """Run one deployment through its changes.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What to run.
+    folder : Path
+        An empty folder for certificates, settings and records.
+    seed : int
+        Of load and faults.
+    """
+    began = time.monotonic()
+    async with Cluster(deployment, folder, seed) as cluster:
+        loads = [
+            await cluster.run_loads([service.name]) for service in deployment.services
+        ]
+        await asyncio.sleep(SETTLED)
+        await cluster.kill_entry("entry-1")
+        await asyncio.sleep(BETWEEN)
+        leaving = [f"{service.name}-1" for service in deployment.services]
+        for name in leaving[:1]:
+            cluster.drain_agent(name)
+        await asyncio.sleep(BETWEEN)
+        changed_at = time.monotonic()
+        generation = await cluster.change(_longer_queues)
+        await cluster.wait_for_generation(generation)
+        in_force = time.monotonic() - changed_at
+        await asyncio.sleep(max(0.0, NO_NEW_WORK - BETWEEN - in_force))
+        left = {name: await cluster.ledger(name) for name in leaving[:1]}
+        await asyncio.sleep(BETWEEN)
+        results = [result for load in loads for result in await load.finish()]
+        ledgers = await cluster.ledgers()
+    evidence = Evidence(tuple(ledgers), tuple(results), left)
+    violations = check(evidence)
+    if in_force > IN_FORCE:
+        detail = f"generation {generation} took {in_force:.1f} s"
+        violations.append(
+            Violation("an accepted configuration is in force soon", "all", detail)
+        )
+    return Report(
+        tuple(summarize(evidence, service.name) for service in deployment.services),
+        tuple(violations),
+        generation,
+        in_force,
+        time.monotonic() - began,
+    )
+
+
+def main(*deployments: str, seed: int = 1) -> None:
+    """Run the demonstration.
+
+    Parameters
+    ----------
+    *deployments : str
+        Names of the deployments to run; all of them if none is named.
+    seed : int
+        Of load and faults.
+    """
+    broken = False
+    for name in deployments or DEPLOYMENTS_BY_NAME:
+        deployment = DEPLOYMENTS_BY_NAME[name]
+        print(f"{name}: {_sizes(deployment)}", flush=True)
+        with tempfile.TemporaryDirectory() as folder:
+            log = Path(folder) / "daemons.log"
+            with _standard_error_to(log):
+                report = asyncio.run(run(deployment, Path(folder), seed))
+            _print(report)
+            _print_errors(log)
+        broken = broken or bool(report.violations)
+    sys.exit(1 if broken else 0)
+
+
+@contextlib.contextmanager
+def _standard_error_to(log: Path) -> Iterator[None]:
+    """Send what this process and its children report to a file.
+
+    The daemons' lines on changes of state would drown the figures.
+    """
+    kept = os.dup(sys.stderr.fileno())
+    with log.open("wb") as file:
+        os.dup2(file.fileno(), sys.stderr.fileno())
+    try:
+        yield
+    except BaseException:
+        os.write(kept, log.read_bytes()[-LOG_SHOWN:])
+        raise
+    finally:
+        os.dup2(kept, sys.stderr.fileno())
+        os.close(kept)
+
+
+def _print_errors(log: Path) -> None:
+    lines = log.read_text(errors="replace").splitlines()
+    errors = [line for line in lines if '"level": "info"' not in line]
+    if errors:
+        print(f"  {len(errors)} lines of errors and warnings, such as")
+        print(f"    {errors[-1][-LOG_SHOWN:]}")
+
+
+def _longer_queues(document: Document) -> Document:
+    """Return the document with the queue of every class twice as long."""
+    services = {
+        name: service._replace(
+            classes_by_name={
+                key: each._replace(queue=each.queue * 2)
+                for key, each in service.classes_by_name.items()
+            }
+        )
+        for name, service in document.services_by_name.items()
+    }
+    return document._replace(services_by_name=services)
+
+
+def _sizes(deployment: Deployment) -> str:
+    services = ", ".join(
+        f"{service.name} {service.targets} x {service.slots} slots"
+        for service in deployment.services
+    )
+    return f"{deployment.entries} entries, {services}"
+
+
+def _print(report: Report) -> None:
+    for summary in report.summaries:
+        print(
+            f"  {summary.service}: flows opened {summary.flows_opened},"
+            f" broken {summary.broken}, requests run {summary.run},"
+            f" run twice {summary.run_twice}, refused {summary.refused},"
+            f" unknown {summary.unknown}"
+        )
+        print(
+            f"    work: max/mean {summary.work_max_to_mean:.2f},"
+            f" variation {summary.work_variation:.2f};"
+            f" streams: max/mean {summary.streams_max_to_mean:.2f}"
+        )
+        for path, quantiles in summary.quantiles_by_path.items():
+            figures = " ".join(f"{q} {quantiles[q] * 1000:.1f}" for q in QUANTILES)
+            print(f"    {path}: latency in ms {figures}")
+    print(
+        f"  generation {report.generation} in force everywhere after"
+        f" {report.in_force:.2f} s; whole run {report.seconds:.1f} s"
+    )
+    for violation in report.violations:
+        print(f"  BROKEN {violation.rule}: {violation.service}: {violation.detail}")
+    if not report.violations:
+        print("  every invariant held", flush=True)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/load.py
@@ -0,0 +1,496 @@
+"""Open-loop load and the callers' own records of it.
+
+Run ``python -m zinniahook_testkit.load '<plan as JSON>'``. Calls start at the
+times of a seeded Poisson process, whether or not earlier ones have ended, and
+latency counts from the time that a call was due: a slow answer can't hide the
+wait of those behind it (coordinated omission). The process runs until
+SIGTERM, lets what is due finish, and writes its records to ``result``.
+"""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import hashlib
+import json
+import random
+import signal
+import sys
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple, TypedDict
+
+from hdrh.histogram import HdrHistogram
+from zinniahook_caller import CallerError, Http3Adapter, OutcomeError, Session
+
+__all__ = [
+    "Load",
+    "LoadPlan",
+    "LoadResult",
+    "Plan",
+    "Record",
+    "load_kind",
+    "loads_by_kind",
+    "main",
+]
+
+MICROSECONDS = 1_000_000
+LONGEST = 600 * MICROSECONDS
+SIGNIFICANT_FIGURES = 3
+OPENING_SPREAD = 1.0
+"""Seconds over which the feeds and flows of a load are opened."""
+
+
+class LoadPlan(TypedDict, total=False):
+    """One load: what to ask of which service, how often.
+
+    ``rate`` is calls a second of all ``callers`` together; ``every`` the
+    seconds between the lines of a feed or the datagrams of a flow; ``size``
+    the bytes of an export.
+    """
+
+    kind: str
+    service: str
+    address: str
+    path: str
+    callers: int
+    rate: float
+    every: float
+    size: int
+    deadline: float
+
+
+class Plan(TypedDict):
+    """What a load process does; ``result`` names the file for its records."""
+
+    ca: str
+    seed: int
+    result: str
+    loads: list[LoadPlan]
+
+
+class Record(NamedTuple):
+    """How one call ended, as its caller saw it.
+
+    ``outcome`` is a value of ``OutcomeKind``, or ``cut`` for a feed, flow or
+    export that broke. ``seconds`` count from when the call was due.
+    """
+
+    ticket: str
+    outcome: str
+    seconds: float
+    attempts: int = 0
+    service: str = ""
+    target: str = ""
+    whole: bool = True
+    detail: str = ""
+
+
+class LoadResult(TypedDict):
+    """The records of one load and what sums them up; quantiles in seconds."""
+
+    kind: str
+    service: str
+    path: str
+    records: list[list[Any]]
+    counts: dict[str, int]
+    quantiles: dict[str, float]
+    histogram: str
+
+
+class Load(abc.ABC):
+    """Callers of one kind.
+
+    Parameters
+    ----------
+    plan : LoadPlan
+        What to do.
+    ca : str
+        PEM file of the authority of the services.
+    rng : random.Random
+        Source of arrivals and jitter.
+    """
+
+    def __init__(self, plan: LoadPlan, ca: str, rng: random.Random) -> None:
+        self.plan = plan
+        self.records: list[Record] = []
+        self.counts: Counter[str] = Counter()
+        self.histogram = HdrHistogram(1, LONGEST, SIGNIFICANT_FIGURES)
+        self.stopping = asyncio.Event()
+        self._ca = ca
+        self._rng = rng
+        self._sessions: list[Session] = []
+
+    @abc.abstractmethod
+    async def run(self) -> None:
+        """Make calls until ``stopping`` is set, then finish those due."""
+
+    def result(self) -> LoadResult:
+        """Return the records."""
+        for session in self._sessions:
+            self._count_session(session)
+        quantiles = {
+            f"p{q:g}": self.histogram.get_value_at_percentile(q) / MICROSECONDS
+            for q in (50, 90, 99, 99.9, 100)
+        }
+        return {
+            "kind": self.plan["kind"],
+            "service": self.plan["service"],
+            "path": self.plan.get("path", ""),
+            "records": [list(record) for record in self.records],
+            "counts": dict(self.counts),
+            "quantiles": quantiles,
+            "histogram": self.histogram.encode().decode(),
+        }
+
+    def session(self) -> Session:
+        """Open a session with the service."""
+        plan = self.plan
+        session = Session(
+            plan["address"],
+            ca=self._ca,
+            deadline=plan.get("deadline", 10.0),
+            rng=random.Random(self._rng.random()),
+        )
+        self._sessions.append(session)
+        return session
+
+    def record(self, record: Record) -> None:
+        """Keep a record."""
+        self.records.append(record)
+        self.counts[record.outcome] += 1
+        micros = int(record.seconds * MICROSECONDS)
+        self.histogram.record_value(max(1, min(micros, LONGEST)))
+
+    async def arrivals(self, call: Callable[[int, float], Any]) -> None:
+        """Start ``call(number, due)`` at Poisson times until stopped."""
+        loop = asyncio.get_running_loop()
+        due = loop.time()
+        number = 0
+        running: set[asyncio.Task[None]] = set()
+        while True:
+            due += self._rng.expovariate(self.plan["rate"])
+            if await self.stopped_within(due - loop.time()):
+                break
+            number += 1
+            task = loop.create_task(call(number, due))
+            running.add(task)
+            task.add_done_callback(running.discard)
+        await asyncio.gather(*running)
+
+    async def stopped_within(self, seconds: float) -> bool:
+        """Sleep, and return whether the load was stopped meanwhile."""
+        if seconds <= 0:
+            return self.stopping.is_set()
+        try:
+            await asyncio.wait_for(self.stopping.wait(), seconds)
+        except TimeoutError:
+            return False
+        return True
+
+    async def close(self) -> None:
+        """Close the sessions."""
+        for session in self._sessions:
+            await session.close()
+
+    def _count_session(self, session: Session) -> None:
+        self.counts["cut_attempts"] += session.cuts
+        adapter = session.adapter
+        if isinstance(adapter, Http3Adapter):
+            self.counts["flows_opened"] += adapter.opened
+            self.counts["flows_moved"] += adapter.moves
+
+
+loads_by_kind: dict[str, type[Load]] = {}
+
+
+def load_kind(kind: str) -> Callable[[type[Load]], type[Load]]:
+    """Register a class as the load of ``kind``."""
+
+    def register(cls: type[Load]) -> type[Load]:
+        loads_by_kind[kind] = cls
+        return cls
+
+    return register
+
+
+@load_kind("tickets")
+class TicketLoad(Load):
+    """Non-idempotent requests, each filed once under its own key."""
+
+    async def run(self) -> None:
+        """File tickets."""
+        sessions = [self.session() for _ in range(self.plan.get("callers", 1))]
+        prefix = f"{self.plan['service']}-{self._rng.getrandbits(32):08x}"
+
+        async def file(number: int, due: float) -> None:
+            session = sessions[number % len(sessions)]
+            await self._file(session, f"{prefix}-{number}", due)
+
+        await self.arrivals(file)
+
+    async def _file(self, session: Session, ticket: str, due: float) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            answer = await session.post(self.plan["path"], json={"ticket": ticket})
+        except OutcomeError as error:
+            seconds = loop.time() - due
+            outcome = error.outcome.value
+            detail = str(error)
+            self.record(Record(ticket, outcome, seconds, error.attempts, detail=detail))
+            return
+        seconds = loop.time() - due
+        if answer.status != 200:
+            detail = f"status {answer.status}"
+            self.record(
+                Record(ticket, "failed", seconds, answer.attempts, detail=detail)
+            )
+            return
+        body = answer.json()
+        self.record(
+            Record(
+                ticket,
+                "done",
+                seconds,
+                answer.attempts,
+                body["service"],
+                body["target"],
+                body["ticket"] == ticket,
+            )
+        )
+
+
+@load_kind("exports")
+class ExportLoad(Load):
+    """Large answers, checked whole against their digest."""
+
+    async def run(self) -> None:
+        """Pull exports."""
+        sessions = [self.session() for _ in range(self.plan.get("callers", 1))]
+
+        async def pull(number: int, due: float) -> None:
+            await self._pull(sessions[number % len(sessions)], str(number), due)
+
+        await self.arrivals(pull)
+
+    async def _pull(self, session: Session, name: str, due: float) -> None:
+        loop = asyncio.get_running_loop()
+        path = f"{self.plan['path']}?size={self.plan['size']}"
+        digest, size = hashlib.sha256(), 0
+        try:
+            async with session.stream("GET", path) as answer:
+                async for chunk in answer.iter_content():
+                    digest.update(chunk)
+                    size += len(chunk)
+        except OutcomeError as error:
+            kind, detail = error.outcome.value, str(error)
+            seconds = loop.time() - due
+            self.record(Record(name, kind, seconds, error.attempts, detail=detail))
+            return
+        except CallerError as error:
+            self.record(Record(name, "cut", loop.time() - due, detail=str(error)))
+            return
+        fields = answer.headers
+        whole = size == self.plan["size"] and digest.hexdigest() == fields.get(
+            "x-digest"
+        )
+        self.record(
+            Record(
+                name,
+                "done" if answer.status == 200 else "failed",
+                loop.time() - due,
+                answer.attempts,
+                fields.get("x-service", ""),
+                fields.get("x-target", ""),
+                whole,
+            )
+        )
+
+
+@load_kind("feeds")
+class FeedLoad(Load):
+    """Long-lived streams that must go on, line by line, until stopped."""
+
+    async def run(self) -> None:
+        """Hold the feeds open."""
+        count = self.plan["callers"]
+        await asyncio.gather(*(self._hold(number) for number in range(count)))
+
+    async def _hold(self, number: int) -> None:
+        if await self.stopped_within(self._rng.random() * OPENING_SPREAD):
+            return
+        feed = _Feed(f"feed-{number}")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        reading = loop.create_task(self._read(feed))
+        stopping = loop.create_task(self.stopping.wait())
+        await asyncio.wait({reading, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        stopping.cancel()
+        outcome = "done"
+        if reading.done():
+            outcome = "cut"
+        else:
+            reading.cancel()
+        await asyncio.gather(reading, return_exceptions=True)
+        self.counts["feed_lines"] += feed.lines
+        self.counts["feeds_opened"] += feed.lines > 0
+        self.records.append(
+            Record(
+                feed.name,
+                outcome,
+                loop.time() - began,
+                feed.attempts,
+                feed.service,
+                feed.target,
+                not feed.fault,
+                feed.fault,
+            )
+        )
+        self.counts[outcome] += 1
+
+    async def _read(self, feed: _Feed) -> None:
+        path = f"{self.plan['path']}?every={self.plan['every']}"
+        loop = asyncio.get_running_loop()
+        opened = loop.time()
+        try:
+            async with self.session().stream("GET", path) as answer:
+                feed.attempts = answer.attempts
+                self.histogram.record_value(
+                    max(1, int((loop.time() - opened) * MICROSECONDS))
+                )
+                async for line in answer.iter_lines():
+                    feed.take(line)
+            feed.fault = feed.fault or "ended"
+        except CallerError as error:
+            feed.fault = feed.fault or f"{type(error).__name__}: {error}"
+
+
+class _Feed:
+    """What a caller knows of its feed."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.attempts = 0
+        self.lines = 0
+        self.service = ""
+        self.target = ""
+        self.fault = ""
+
+    def take(self, line: bytes) -> None:
+        """Check a line: same service, same target, the next number."""
+        message = json.loads(line)
+        self.lines += 1
+        if self.lines == 1:
+            self.service, self.target = message["service"], message["target"]
+        origin = (message["service"], message["target"], message["n"])
+        if origin != (self.service, self.target, self.lines):
+            self.fault = f"line {origin} after {self.target} {self.lines - 1}"
+
+
+@load_kind("flows")
+class FlowLoad(Load):
+    """Plain UDP flows that must stay with one target that remembers them."""
+
+    async def run(self) -> None:
+        """Hold the flows open."""
+        count = self.plan["callers"]
+        await asyncio.gather(*(self._hold(number) for number in range(count)))
+
+    async def _hold(self, number: int) -> None:
+        if await self.stopped_within(self._rng.random() * OPENING_SPREAD):
+            return
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        host, _, port = self.plan["address"].rpartition(":")
+        transport, flow = await loop.create_datagram_endpoint(
+            _Flow, remote_addr=(host, int(port))
+        )
+        while not await self.stopped_within(self.plan["every"]):
+            flow.send()
+        transport.close()
+        self.counts["flows_opened"] += 1
+        self.counts["datagrams_sent"] += flow.sent
+        self.counts["datagrams_answered"] += flow.answered
+        outcome = "cut" if flow.fault else "done"
+        self.counts[outcome] += 1
+        self.records.append(
+            Record(
+                f"flow-{number}",
+                outcome,
+                loop.time() - began,
+                1,
+                flow.service,
+                flow.target,
+                not flow.fault,
+                flow.fault,
+            )
+        )
+
+
+class _Flow(asyncio.DatagramProtocol):
+    """One UDP flow of numbered datagrams."""
+
+    REORDERED = 8
+    """How far back a number may be without meaning that the target forgot."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.answered = 0
+        self.service = ""
+        self.target = ""
+        self.fault = ""
+        self._highest = 0
+
+    def connection_made(self, transport: Any) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def send(self) -> None:
+        """Send the next datagram."""
+        self.sent += 1
+        self._transport.sendto(b"%d" % self.sent)
+
+    def datagram_received(self, data: bytes, source: Any) -> None:
+        """Check an answer: same service, same target, no new start."""
+        service, target, number, _ = data.decode().split()
+        self.answered += 1
+        if not self.target:
+            self.service, self.target = service, target
+        if (service, target) != (self.service, self.target):
+            self.fault = f"{service} {target} after {self.service} {self.target}"
+        if int(number) < self._highest - self.REORDERED:
+            self.fault = f"number {number} after {self._highest}"
+        self._highest = max(self._highest, int(number))
+
+
+async def serve(plan: Plan) -> None:
+    """Run the loads of a plan until SIGTERM or SIGINT."""
+    rng = random.Random(plan["seed"])
+    loads = [
+        loads_by_kind[each["kind"]](each, plan["ca"], random.Random(rng.random()))
+        for each in plan["loads"]
+    ]
+    loop = asyncio.get_running_loop()
+
+    def stop() -> None:
+        for load in loads:
+            load.stopping.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+    print(json.dumps({"ready": {}}), flush=True)
+    await asyncio.gather(*(load.run() for load in loads))
+    results = [load.result() for load in loads]
+    for load in loads:
+        await load.close()
+    Path(plan["result"]).write_text(json.dumps(results))
+
+
+def main() -> None:
+    """Read the plan from the command line and run it."""
+    asyncio.run(serve(json.loads(sys.argv[1])))
+
+
+if __name__ == "__main__":
+    main()
