testkit: TCP fault proxy; store: watches tested across a broken path

Cause: connections that are cut, held back, refused or silent in one direction need a real path to happen on. Change: a proxy process with delay, hang, refusal, cut and silence for good of the connections open now, steered over an admin address; StandIn as the shared face of steered processes. The watch tests cut and silence its path and compact meanwhile.

--- a/packages/zinniahook-store/tests/test_store.py
+++ b/packages/zinniahook-store/tests/test_store.py
@@ -15,7 +15,7 @@
     StoreError,
     Written,
 )
-from zinniahook_testkit import stores
+from zinniahook_testkit import faults, stores
 
 BOUND = 20.0
 """Seconds after which a wait counts as failed."""
@@ -357,23 +357,50 @@
         """
 
         async def scenario():
-            store, watch = await self.started(server, prefix)
-            await watch.aclose()
-            other = client(server)
-            resumed = other.watch(prefix, watch.revision)
-            resumed._revisions_by_key = dict(watch._revisions_by_key)
-            written = await store.put(prefix + "a", b"1")
-            await store.delete(prefix + "first")
-            server.compact()
+            with faults.start(server.address) as proxy:
+                far = Store([proxy.address], 2.0, random.Random(1))
+                store, near = client(server), prefix + "first"
+                await store.put(near, b"1")
+                watch = far.watch(prefix)
+                await anext(watch)
+                pending = asyncio.ensure_future(anext(watch))
+                while server.state()["watches"] == 0:
+                    await asyncio.sleep(0.01)
+                proxy.set_faults(refuse=True)
+                proxy.cut()
+                written = await store.put(prefix + "a", b"1")
+                await store.delete(near)
+                server.compact()
+                proxy.set_faults(refuse=False)
+                changes = [await pending, await anext(watch)]
+                assert Change(prefix + "a", b"1", written.revision) in changes
+                assert (near, None) in [change[:2] for change in changes]
+                await watch.aclose()
+
+        run(scenario())
+
+    def test_one_way_silence_on_the_path(self, server, prefix):
+        """Connection that something between the ends has lost track of.
 
-            async def nothing_read():
-                return []
+        Symptom: as with a silent watch, but the store sees an open one.
+        Sequence: answers on the open connection stop, new ones work. Cause:
+        no end of the connection is ever told.
+        """
 
-            resumed._first_read = nothing_read
-            changes = [await anext(resumed) for _ in range(2)]
-            assert Change(prefix + "a", b"1", written.revision) in changes
-            assert (prefix + "first", None) in [one[:2] for one in changes]
-            await resumed.aclose()
+        async def scenario():
+            with faults.start(server.address) as proxy:
+                far = Store([proxy.address], 2.0, random.Random(1))
+                store = client(server)
+                await store.put(prefix + "first", b"1")
+                watch = far.watch(prefix, silence=SILENCE)
+                await anext(watch)
+                pending = asyncio.ensure_future(anext(watch))
+                while server.state()["watches"] == 0:
+                    await asyncio.sleep(0.01)
+                proxy.silence("down")
+                written = await store.put(prefix + "a", b"1")
+                assert await pending == Change(prefix + "a", b"1", written.revision)
+                await watch.aclose()
 
         run(scenario())
 
--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/faults.py
@@ -0,0 +1,310 @@
+"""TCP proxy that injects faults between two processes.
+
+Run ``python -m zinniahook_testkit.faults UPSTREAM``. When ready it prints
+``{"ready": {"address": ..., "admin": ...}}``. The admin address takes::
+
+    POST /faults    any fields of `ProxyFaults`; the others stay as they are
+    POST /silence   {"direction": "up", "down" or "both"}: the connections open
+                    now bring nothing more that way, for good; new ones work
+    POST /cut       reset the connections open now
+    GET  /state     faults, connections taken and open, bytes passed each way
+
+"up" is from the connecting side to the upstream. `start` runs it as a process
+for tests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import signal
+import socket
+import struct
+from typing import Any, NamedTuple
+
+import defopt
+import tornado.web
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from zinniahook_core.models import Address
+
+from . import processes
+
+__all__ = ["ProxyFaults", "ProxyProcess", "main", "start"]
+
+READ_SIZE = 65536
+QUEUE_SIZE = 64
+"""Pieces on their way in one direction; more aren't read meanwhile."""
+
+DIRECTIONS = {"up": {"up"}, "down": {"down"}, "both": {"up", "down"}, "": set()}
+
+LINGER_RESET = struct.pack("ii", 1, 0)
+"""Socket option that makes a close a reset."""
+
+
+class ProxyFaults(NamedTuple):
+    """How the proxy misbehaves.
+
+    Attributes
+    ----------
+    delay : float
+        Seconds that each piece is held back, in each direction.
+    hang : bool
+        Nothing passes meanwhile; it does afterwards.
+    refuse : bool
+        New connections are refused.
+    silent : str
+        Direction that connections made meanwhile are silent in, for good.
+    """
+
+    delay: float = 0.0
+    hang: bool = False
+    refuse: bool = False
+    silent: str = ""
+
+
+class Connection:
+    """One connection and its two directions."""
+
+    def __init__(self, proxy: Proxy, down: asyncio.StreamWriter) -> None:
+        self.silent = set(DIRECTIONS[proxy.faults.silent])
+        self._proxy = proxy
+        self._writers = [down]
+
+    async def run(self, reader: asyncio.StreamReader) -> None:
+        """Pass bytes until either side ends the connection."""
+        host, port = self._proxy.upstream
+        try:
+            upstream, writer = await asyncio.open_connection(host, port)
+        except OSError:
+            self.reset()
+            return
+        self._writers.append(writer)
+        passing = [
+            asyncio.ensure_future(self._pass("up", reader, writer)),
+            asyncio.ensure_future(self._pass("down", upstream, self._writers[0])),
+        ]
+        try:
+            await asyncio.gather(*passing)
+        except OSError:
+            self.reset()
+        finally:
+            for task in passing:
+                task.cancel()
+            for writer in self._writers:
+                writer.close()
+
+    def reset(self) -> None:
+        """End both sides with a reset."""
+        for writer in self._writers:
+            end = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            writer.transport.abort()
+
+    async def _pass(
+        self, way: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # A queue between reading and writing lets a delay hold each piece
+        # back without limiting how many are on their way.
+        pieces: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(QUEUE_SIZE)
+        writing = asyncio.ensure_future(self._write(way, pieces, writer))
+        try:
+            while True:
+                data = await reader.read(READ_SIZE)
+                due = asyncio.get_running_loop().time() + self._proxy.faults.delay
+                await pieces.put((due, data))
+                if not data:
+                    break
+            await writing
+        finally:
+            writing.cancel()
+
+    async def _write(
+        self,
+        way: str,
+        pieces: asyncio.Queue[tuple[float, bytes]],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due, data = await pieces.get()
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            await self._proxy.passable.wait()
+            if way in self.silent:
+                # Also the end of the stream is swallowed: the other side
+                # must not notice anything.
+                if not data:
+                    await asyncio.Event().wait()
+                continue
+            if not data:
+                writer.write_eof()
+                return
+            self._proxy.bytes_by_direction[way] += len(data)
+            writer.write(data)
+            await writer.drain()
+
+
+class Proxy:
+    """The listening side, its faults and its connections."""
+
+    def __init__(self, upstream: Address, host: str, port: int) -> None:
+        self.upstream = upstream
+        self.faults = ProxyFaults()
+        self.address = Address(host, port)
+        self.connections: set[Connection] = set()
+        self.taken = 0
+        self.bytes_by_direction = {"up": 0, "down": 0}
+        self.passable = asyncio.Event()
+        self.passable.set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self) -> None:
+        """Take connections, always on the same address."""
+        host, port = self.address
+        self._server = await asyncio.start_server(self._serve, host, port)
+        self.address = Address(*self._server.sockets[0].getsockname()[:2])
+
+    async def set_faults(self, faults: ProxyFaults) -> None:
+        """Change the faults and what follows from them."""
+        self.faults = faults
+        if faults.hang:
+            self.passable.clear()
+        else:
+            self.passable.set()
+        if faults.refuse and self._server is not None:
+            self._server.close()
+            self._server = None
+        elif not faults.refuse and self._server is None:
+            await self.listen()
+
+    def silence(self, direction: str) -> None:
+        """Make the connections open now silent for good."""
+        for connection in self.connections:
+            connection.silent |= DIRECTIONS[direction]
+
+    def cut(self) -> None:
+        """Reset the connections open now."""
+        for connection in list(self.connections):
+            connection.reset()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = Connection(self, writer)
+        self.taken += 1
+        self.connections.add(connection)
+        try:
+            await connection.run(reader)
+        except asyncio.CancelledError:
+            # Only the end of the process cancels; asyncio's streams would
+            # print a traceback for each connection then.
+            pass
+        finally:
+            self.connections.discard(connection)
+
+
+class AdminHandler(tornado.web.RequestHandler):
+    """Steers the proxy."""
+
+    def initialize(self, proxy: Proxy) -> None:
+        """Take the proxy."""
+        self.proxy = proxy
+
+    def get(self, action: str) -> None:
+        """Answer with the state."""
+        proxy = self.proxy
+        self.finish(
+            {
+                "faults": proxy.faults._asdict(),
+                "open": len(proxy.connections),
+                "taken": proxy.taken,
+                "bytes": proxy.bytes_by_direction,
+            }
+        )
+
+    async def post(self, action: str) -> None:
+        """Change the faults, or act on the open connections."""
+        fields = json.loads(self.request.body)
+        try:
+            if action == "faults":
+                await self._set_faults(fields)
+            elif action == "silence":
+                self.proxy.silence(fields.get("direction", "both"))
+            elif action == "cut":
+                self.proxy.cut()
+        except (KeyError, ValueError) as error:
+            raise tornado.web.HTTPError(400, str(error)) from None
+        self.get(action)
+
+    async def _set_faults(self, fields: dict[str, Any]) -> None:
+        faults = self.proxy.faults._replace(**fields)
+        if faults.silent not in DIRECTIONS:
+            raise ValueError(f"no direction: {faults.silent}")
+        await self.proxy.set_faults(faults)
+
+
+class ProxyProcess(processes.StandIn):
+    """The proxy as a process, as tests drive it."""
+
+    def __init__(self, process: processes.Process) -> None:
+        super().__init__(process)
+        self.address: str = process.ready["address"]
+
+    def set_faults(self, **fields: Any) -> None:
+        """Change some fields of `ProxyFaults`."""
+        self.post("faults", **fields)
+
+    def silence(self, direction: str = "both") -> None:
+        """Make the connections open now silent for good."""
+        self.post("silence", direction=direction)
+
+    def cut(self) -> None:
+        """Reset the connections open now."""
+        self.post("cut")
+
+
+def start(upstream: str) -> ProxyProcess:
+    """Run a proxy in front of ``upstream`` (host:port) as a process."""
+    return ProxyProcess(processes.start("zinniahook_testkit.faults", upstream))
+
+
+async def serve(upstream: Address, host: str, port: int) -> None:
+    """Serve until SIGTERM."""
+    proxy = Proxy(upstream, host, port)
+    await proxy.listen()
+    admin = bind_sockets(0, host, socket.AF_INET)
+    routes = [(r"/(faults|silence|cut|state)", AdminHandler, {"proxy": proxy})]
+    application = tornado.web.Application(routes, log_function=lambda handler: None)
+    HTTPServer(application).add_sockets(admin)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    ready = {
+        "address": str(proxy.address),
+        "admin": "{}:{}".format(*admin[0].getsockname()),
+    }
+    print(json.dumps({"ready": ready}), flush=True)
+    await stopping.wait()
+    proxy.cut()
+
+
+def main(upstream: str, *, host: str = "127.0.0.1", port: int = 0) -> None:
+    """Run a TCP proxy that injects faults.
+
+    Parameters
+    ----------
+    upstream : str
+        Where connections go to, as host:port.
+    host : str
+        Loopback address to listen on.
+    port : int
+        Port to listen on; 0 lets the system choose.
+    """
+    asyncio.run(serve(Address.parse(upstream), host, port))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/processes.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/processes.py
@@ -13,11 +13,19 @@
 import subprocess
 import sys
 import time
+import urllib.request
 from collections.abc import Mapping
 from types import TracebackType
-from typing import Any
+from typing import Any, Self
 
-__all__ = ["READY_TIMEOUT", "STOP_TIMEOUT", "NotReadyError", "Process", "start"]
+__all__ = [
+    "READY_TIMEOUT",
+    "STOP_TIMEOUT",
+    "NotReadyError",
+    "Process",
+    "StandIn",
+    "start",
+]
 
 READY_TIMEOUT = 20.0
 """Seconds that a process has to print its ready line."""
@@ -25,6 +33,9 @@
 STOP_TIMEOUT = 10.0
 """Seconds that a terminated process has before it is killed."""
 
+ADMIN_TIMEOUT = 10.0
+"""Seconds that an admin address has to answer."""
+
 READ_SIZE = 65536
 
 
@@ -130,6 +141,33 @@
             self.terminate()
 
 
+class StandIn:
+    """A process that is steered over the ``admin`` address of its ready line."""
+
+    def __init__(self, process: Process) -> None:
+        self.process = process
+        self._admin: str = process.ready["admin"]
+
+    def state(self) -> dict[str, Any]:
+        """Return what the process tells of itself."""
+        return self._get("state")
+
+    def post(self, action: str, **fields: Any) -> dict[str, Any]:
+        """Steer the process and return its new state."""
+        return self._get(action, json.dumps(fields).encode())
+
+    def _get(self, action: str, body: bytes | None = None) -> dict[str, Any]:
+        url = f"http://{self._admin}/{action}"
+        with urllib.request.urlopen(url, body, ADMIN_TIMEOUT) as answer:
+            return json.load(answer)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.process.terminate()
+
+
 def start(
     module: str,
     *args: object,
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/stores.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/stores.py
@@ -19,7 +19,6 @@
 import signal
 import socket
 import time
-import urllib.request
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from typing import Any, NamedTuple
@@ -39,7 +38,6 @@
 BODY_LIMIT = 64 * 1024 * 1024
 OPERATIONS_LIMIT = 128
 EXPIRE_INTERVAL = 0.1
-ADMIN_TIMEOUT = 10.0
 
 COMPACTED = "etcdserver: mvcc: required revision has been compacted"
 
@@ -363,40 +361,24 @@
         self.get(action)
 
 
-class StoreProcess:
+class StoreProcess(processes.StandIn):
     """The stand-in as a process, as tests drive it."""
 
     def __init__(self, process: processes.Process) -> None:
-        self.process = process
+        super().__init__(process)
         self.address: str = process.ready["address"]
-        self._admin: str = process.ready["admin"]
 
     def set_faults(self, **fields: Any) -> None:
         """Change some fields of `StoreFaults`."""
-        self._call("faults", json.dumps(fields).encode())
+        self.post("faults", **fields)
 
     def compact(self) -> None:
         """Forget all revisions but the present one."""
-        self._call("compact", b"")
+        self.post("compact")
 
     def reset(self) -> None:
         """Set the counts of calls to zero."""
-        self._call("reset", b"")
-
-    def state(self) -> dict[str, Any]:
-        """Return the counts, the faults and the revision."""
-        return self._call("state", None)
-
-    def _call(self, action: str, body: bytes | None) -> dict[str, Any]:
-        url = f"http://{self._admin}/{action}"
-        with urllib.request.urlopen(url, body, ADMIN_TIMEOUT) as answer:
-            return json.load(answer)
-
-    def __enter__(self) -> StoreProcess:
-        return self
-
-    def __exit__(self, *error: object) -> None:
-        self.process.terminate()
+        self.post("reset")
 
 
 def start() -> StoreProcess:
