Claim non-idempotent requests at an owner before they run

Cause: copies of one request at two agents would both have run. Change: the claim owner of a key grants it once, two members hold the record before anything runs, a new owner looks the key up at every other live member under the same roster revision, and what can't be proved is unknown.

--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/arbiters.py
@@ -0,0 +1,225 @@
+"""The owner's part in claims: who may run or refuse a key.
+
+An owner answers from its records. One that may have become the owner lately
+looks the key up at every other live member before it grants it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .codes import Code
+from .effects import AgentEffect, Count, SendPeer
+from .lookups import Lookup, Lookups
+from .messages import ClaimAnswer, ClaimAsk, ClaimIntent, ClaimState
+from .records import (
+    KEY_LIFETIME,
+    LATENESS,
+    SMALL_ANSWER,
+    Record,
+    Records,
+    granted,
+    refused,
+)
+from .views import View
+
+__all__ = ["Arbiter", "tell"]
+
+TWO_LOSSES = 2
+
+
+def tell(now: float, view: View, ask: ClaimAsk, record: Record) -> ClaimAnswer:
+    """Return what a record says to an asker who isn't its runner."""
+    state = record.state
+    if state is ClaimState.GRANTED:
+        state = ClaimState.RUNNING
+    answer = record.answer if len(record.answer) <= SMALL_ANSWER else b""
+    needs_runner = state is ClaimState.RUNNING or (
+        state is ClaimState.FINISHED and not answer
+    )
+    if needs_runner and not view.current(record.runner, record.incarnation):
+        state = ClaimState.UNKNOWN
+    code = Code.ANSWER_LOST if state is ClaimState.UNKNOWN else Code.OK
+    retry_after = record.until - now if state is ClaimState.REFUSED else 0.0
+    return ClaimAnswer(
+        ask.number,
+        ask.key,
+        state,
+        record.runner,
+        answer,
+        min(retry_after, LATENESS),
+        code,
+        record.incarnation,
+    )
+
+
+class Arbiter:
+    """Decides on asks, and looks up what was claimed before.
+
+    Parameters
+    ----------
+    view : View
+        The members as this agent sees them.
+    records : Records
+        What this agent remembers.
+    effects : list of AgentEffect
+        Where messages and counts are put.
+    next_number : callable
+        Returns a fresh number for a lookup.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        records: Records,
+        effects: list[AgentEffect],
+        next_number: Callable[[], int],
+    ) -> None:
+        self._view = view
+        self._records = records
+        self._effects = effects
+        self._next_number = next_number
+        self._lookups = Lookups()
+
+    def decide(self, now: float, sender: str, ask: ClaimAsk) -> ClaimAnswer | None:
+        """Answer an ask; None if it has to wait or isn't for this agent."""
+        if ask.revision > self._view.revision:
+            self._effects.append(Count("claims.view_stale"))
+            return None
+        if self._view.owner(ask.key) != self._view.name:
+            return None
+        if ask.key in self._lookups:
+            self._lookups.renumber(sender, ask)
+            return None
+        record = self._records.get(now, ask.key)
+        if record is not None and record.ran:
+            return self._decide_claimed(now, sender, ask, record)
+        if self._view.fresh(now, ask.key):
+            return self._begin_lookup(now, sender, ask)
+        return self._decide_unclaimed(now, sender, ask, 0)
+
+    def look(self, now: float, sender: str, ask: ClaimAsk) -> ClaimAnswer | None:
+        """Answer a new owner's LOOK; None if the rosters differ.
+
+        Under an older roster this agent might still grant or run the key
+        after it denied it; under a newer one it never does.
+        """
+        if ask.revision != self._view.revision:
+            self._effects.append(Count("claims.view_stale"))
+            return None
+        record = self._records.get(now, ask.key)
+        losses = self._losses(now, ask.attempt)
+        if record is None or not (record.ran or _is_late(ask, record)):
+            return ClaimAnswer(ask.number, ask.key, ClaimState.NONE, "", losses=losses)
+        return tell(now, self._view, ask, record)._replace(losses=losses)
+
+    def looked(
+        self, now: float, sender: str, answer: ClaimAnswer
+    ) -> tuple[str, ClaimAnswer] | None:
+        """Take the answer to a LOOK.
+
+        Returns
+        -------
+        (str, ClaimAnswer) or None
+            The asker and what it is told, once that is known.
+        """
+        lookup = self._lookups.take(sender, answer)
+        if lookup is None or lookup.revision != self._view.revision:
+            return None
+        ask = lookup.ask
+        if lookup.found is not None:
+            self._learn_found(now, lookup, lookup.found)
+        record = self._records.get(now, ask.key)
+        if record is not None and record.ran:
+            return lookup.sender, self._decide_claimed(now, lookup.sender, ask, record)
+        return lookup.sender, self._decide_unclaimed(
+            now, lookup.sender, ask, lookup.losses
+        )
+
+    def tick(self, now: float) -> None:
+        """Repeat the lookups that are unanswered."""
+        for lookup in self._lookups.due(now):
+            self._send_look(lookup)
+
+    def reset(self) -> None:
+        """Forget the lookups made under an older roster; askers ask again."""
+        self._lookups.drop_all()
+
+    def _decide_claimed(
+        self, now: float, sender: str, ask: ClaimAsk, record: Record
+    ) -> ClaimAnswer:
+        own = (record.runner, record.incarnation) == (sender, ask.incarnation)
+        if own and record.state in (ClaimState.GRANTED, ClaimState.RUNNING):
+            # The runner knows best whether it ran: it asks only if it didn't.
+            return self._grant(now, sender, ask)
+        return tell(now, self._view, ask, record)
+
+    def _decide_unclaimed(
+        self, now: float, sender: str, ask: ClaimAsk, losses: int
+    ) -> ClaimAnswer:
+        losses = max(losses, self._losses(now, ask.attempt))
+        if losses >= TWO_LOSSES:
+            self._effects.append(Count("claims.unprovable"))
+            return ClaimAnswer(
+                ask.number, ask.key, ClaimState.UNKNOWN, "", code=Code.ANSWER_LOST
+            )
+        record = self._records.get(now, ask.key)
+        late = record is not None and _is_late(ask, record)
+        if late and ask.intent is ClaimIntent.RUN:
+            return tell(now, self._view, ask, record)
+        return self._grant(now, sender, ask)
+
+    def _grant(self, now: float, sender: str, ask: ClaimAsk) -> ClaimAnswer:
+        make = granted if ask.intent is ClaimIntent.RUN else refused
+        record = make(now, sender, ask.incarnation, ask.attempt)
+        self._records.put(now, ask.key, record)
+        return ClaimAnswer(ask.number, ask.key, record.state, sender)
+
+    def _losses(self, now: float, attempt: int) -> int:
+        # A copy of a first attempt is at most LATENESS old, and so is
+        # whatever ran under its key.
+        window = LATENESS if attempt == 1 else KEY_LIFETIME
+        forgotten = self._records.horizon > now - window
+        return self._view.losses(now, window) + (TWO_LOSSES if forgotten else 0)
+
+    def _begin_lookup(
+        self, now: float, sender: str, ask: ClaimAsk
+    ) -> ClaimAnswer | None:
+        waiting = {name for name in self._view.live if name != sender}
+        if not waiting:
+            return self._decide_unclaimed(now, sender, ask, 0)
+        lookup = Lookup(
+            self._next_number(), sender, ask, self._view.revision, waiting, now, now
+        )
+        if self._lookups.begin(lookup):
+            self._send_look(lookup)
+        return None
+
+    def _send_look(self, lookup: Lookup) -> None:
+        view = self._view
+        message = self._lookups.message(lookup, view.name, view.incarnation)
+        self._effects += [SendPeer(name, message) for name in sorted(lookup.waiting)]
+
+    def _learn_found(self, now: float, lookup: Lookup, found: ClaimAnswer) -> None:
+        state = found.state
+        if state is ClaimState.RUNNING:
+            state = ClaimState.GRANTED
+        refusal = state is ClaimState.REFUSED
+        lifetime = found.retry_after if refusal else KEY_LIFETIME
+        record = Record(
+            state,
+            found.runner,
+            found.incarnation,
+            lookup.ask.attempt,
+            now,
+            now + lifetime,
+            found.answer,
+        )
+        self._records.put(now, lookup.ask.key, record)
+
+
+def _is_late(ask: ClaimAsk, record: Record) -> bool:
+    """Tell whether an ask is for a copy of what was refused already."""
+    if not record.attempt or not ask.attempt:
+        return True
+    return ask.attempt <= record.attempt
--- a/packages/zinniahook-core/src/zinniahook_core/claims.py
+++ b/packages/zinniahook-core/src/zinniahook_core/claims.py
@@ -1,16 +1,56 @@
-"""Claims on requests: who runs a key, and what became of it."""
+"""Claims: which agent runs a non-idempotent request, at most once.
+
+The claim owner of a key is the best ready member for it. Whoever wants to run
+or refuse the key asks the owner first; two members hold the record before
+anything runs. The reasoning is in docs/design/requests.md.
+"""
 
 from __future__ import annotations
 
-from typing import NamedTuple
+import itertools
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, NamedTuple
 
+from .arbiters import Arbiter, tell
 from .codes import Code
-from .effects import AgentEffect
-from .messages import ClaimIntent, ClaimState
+from .effects import AgentEffect, Count, SendPeer
+from .handovers import Handover
+from .lookups import REPEAT_AFTER
+from .messages import (
+    ClaimAnswer,
+    ClaimAsk,
+    ClaimFinished,
+    ClaimIntent,
+    ClaimRecords,
+    ClaimState,
+)
 from .models import Roster
+from .records import KEY_LIFETIME, SMALL_ANSWER, Record, Records, granted, refused
+from .views import View
 
 __all__ = ["Claims", "Settled"]
 
+GRANT_LIFETIME = 2.0
+"""A grant older than this, counted from its ask, may have been taken over."""
+
+ANNOUNCE_AGAIN = 1.0
+HEAL_INTERVAL = 1.0
+PARTNER_TRIES = 3
+
+Handler = Callable[[Any, float, str, Any], None]
+
+_HANDLERS_BY_MESSAGE: dict[type, Handler] = {}
+
+
+def _receives(message_type: type) -> Callable[[Handler], Handler]:
+    def register(handler: Handler) -> Handler:
+        _HANDLERS_BY_MESSAGE[message_type] = handler
+        return handler
+
+    return register
+
 
 class Settled(NamedTuple):
     """The answer to one claim of a local request."""
@@ -23,18 +63,77 @@
     code: Code = Code.OK
 
 
+@dataclass(slots=True)
+class Ask:
+    """A claim that a local request waits for.
+
+    ``partner`` is set while the owner, this agent, waits for a second member
+    to hold the record.
+    """
+
+    request: int
+    key: bytes
+    attempt: int
+    intent: ClaimIntent
+    until: float
+    number: int = 0
+    owner: str | None = None
+    first_sent_at: float = 0.0
+    sent_at: float = 0.0
+    partner: str = ""
+    tries: int = 0
+
+
 class Claims:
-    """Claims as one agent alone can settle them."""
+    """The claims of one agent: as asker, as runner, as owner and as holder.
+
+    Parameters
+    ----------
+    name : str
+        The agent's own name.
+    """
 
     def __init__(self, name: str) -> None:
         self._name = name
+        self._numbers = itertools.count(1)
+        self._effects: list[AgentEffect] = []
         self._settled: list[Settled] = []
-        self._states_by_key: dict[bytes, tuple[ClaimState, bytes]] = {}
+        self._asks_by_request: dict[int, Ask] = {}
+        self._asks_by_number: dict[int, Ask] = {}
+        self._announcements: deque[tuple[float, bytes]] = deque()
+        self._handover: Handover | None = None
+        self._was_alone = False
+        self._healed_peers: set[str] = set()
+        self._heal_at = 0.0
+        self._heal_number = 0
+        self._leaving = False
+        self.view = View(name)
+        self.records = Records()
+        self._arbiter = Arbiter(
+            self.view, self.records, self._effects, self._next_number
+        )
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether, after ``leave``, others hold all that is held here."""
+        return self._leaving and (self._handover is None or self._handover.done)
 
-    def known(self, now: float, key: bytes) -> tuple[ClaimState, str, bytes]:
-        """Return what this agent itself ran under ``key``."""
-        state, answer = self._states_by_key.get(key, (ClaimState.NONE, b""))
-        return state, self._name, answer
+    def take(self) -> tuple[list[AgentEffect], list[Settled]]:
+        """Return the effects and settled asks since the last call."""
+        effects = list(self._effects)
+        self._effects.clear()
+        settled, self._settled = self._settled, []
+        return effects, settled
+
+    def known(self, now: float, key: bytes) -> Settled | None:
+        """Return what became of ``key`` if this very agent ran it."""
+        record = self.records.get(now, key)
+        if record is None or record.runner != self._name:
+            return None
+        if record.state in (ClaimState.GRANTED, ClaimState.REFUSED):
+            return None
+        code = Code.ANSWER_LOST if record.state is ClaimState.UNKNOWN else Code.OK
+        return Settled(0, record.state, self._name, record.answer, code=code)
 
     def begin(
         self,
@@ -43,45 +142,380 @@
         key: bytes,
         attempt: int,
         intent: ClaimIntent,
-        deadline: float,
-        retry_after: float = 0.0,
+        until: float,
     ) -> None:
-        """Ask for a key; the answer is returned by ``take``."""
-        if intent is ClaimIntent.REFUSE:
-            settled = Settled(request, ClaimState.REFUSED, "", retry_after=retry_after)
-        else:
-            settled = Settled(request, ClaimState.GRANTED, self._name)
-            self._states_by_key[key] = (ClaimState.RUNNING, b"")
-        self._settled.append(settled)
+        """Ask for a key; the answer is returned by ``take``.
+
+        Parameters
+        ----------
+        now, until : float
+            Monotonic seconds; without an answer by ``until`` it is UNKNOWN.
+        request, attempt : int
+            The driver's name for the request; its caller's count.
+        key : bytes
+            The idempotency key.
+        intent : ClaimIntent
+            RUN or REFUSE.
+        """
+        self.forget(request)
+        ask = Ask(request, key, attempt, intent, until)
+        self._asks_by_request[request] = ask
+        self._ask_anew(now, ask)
+
+    def forget(self, request: int) -> None:
+        """Drop the ask of a request; a late grant to it is void."""
+        ask = self._asks_by_request.pop(request, None)
+        if ask is not None:
+            self._asks_by_number.pop(ask.number, None)
 
     def finished(self, now: float, key: bytes, answer: bytes) -> None:
-        """Keep the answer of what ran here."""
-        self._states_by_key[key] = (ClaimState.FINISHED, answer)
+        """Keep the answer of what ran here and tell the other holders."""
+        self._end(now, key, ClaimState.FINISHED, answer)
+        self._announce(now, key)
+        self._announcements.append((now + ANNOUNCE_AGAIN, key))
 
     def failed(self, now: float, key: bytes) -> None:
         """Note that nobody can tell what became of what ran here."""
-        self._states_by_key[key] = (ClaimState.UNKNOWN, b"")
+        self._end(now, key, ClaimState.UNKNOWN, b"")
 
     def unstarted(self, now: float, key: bytes) -> None:
-        """Note that the target never saw what was granted."""
-        self._states_by_key.pop(key, None)
+        """Note that the target never saw what was granted to this agent."""
+        record = self.records.get(now, key)
+        if record is not None and record.runner == self._name:
+            record.state = ClaimState.GRANTED
 
-    def forget(self, request: int) -> None:
-        """Drop the ask of a request whose caller has gone."""
+    def leave(self) -> None:
+        """Hand everything over; see ``handed_over``.
 
-    def learn(self, now: float, roster: Roster) -> None:
-        """Take a newer roster."""
+        To be called again once the roster shows that this agent leaves: until
+        then it may still have granted claims as their owner.
+        """
+        self._leaving = True
+        self._handover = self._new_handover()
 
     def restart(self, now: float, incarnation: int) -> None:
-        """Go on under a new incarnation."""
+        """Go on under a new incarnation; what was waited for is void.
+
+        Records are facts of the past and stay.
+        """
+        self._asks_by_request.clear()
+        self._asks_by_number.clear()
+        self._arbiter.reset()
+        self.view.restart(now, incarnation)
+
+    def learn(self, now: float, roster: Roster) -> None:
+        """Take a newer roster.
+
+        Every ask starts again, under a new number. Otherwise a late grant of
+        a former owner could meet a grant of its successor, which was told
+        that nothing runs here.
+        """
+        if not self.view.learn(now, roster):
+            return
+        self._arbiter.reset()
+        self._note_alone()
+        for ask in list(self._asks_by_request.values()):
+            self._ask_anew(now, ask)
 
     def receive(self, now: float, sender: str, message: object) -> None:
         """Take a peer's message."""
+        handler = _HANDLERS_BY_MESSAGE.get(type(message))
+        if handler is not None:
+            handler(self, now, sender, message)
 
     def tick(self, now: float) -> None:
         """Repeat what is unanswered and give up what is overdue."""
+        for ask in list(self._asks_by_request.values()):
+            if now >= ask.until:
+                self.forget(ask.request)
+                self._settled.append(
+                    Settled(ask.request, ClaimState.UNKNOWN, "", code=Code.UNKNOWN)
+                )
+            elif now - ask.sent_at >= REPEAT_AFTER:
+                self._repeat(now, ask)
+        self._arbiter.tick(now)
+        while self._announcements and self._announcements[0][0] <= now:
+            self._announce(now, self._announcements.popleft()[1])
+        self.records.expire(now)
+        if self._handover is not None:
+            self._effects += self._handover.send(now)
+        self._heal(now)
 
-    def take(self) -> tuple[list[AgentEffect], list[Settled]]:
-        """Return the effects and answers since the last call."""
-        settled, self._settled = self._settled, []
-        return [], settled
+    # As asker and runner
+
+    def _ask_anew(self, now: float, ask: Ask) -> None:
+        self._asks_by_number.pop(ask.number, None)
+        ask.number = self._next_number()
+        ask.owner = self.view.owner(ask.key)
+        ask.partner = ""
+        ask.first_sent_at = now
+        self._asks_by_number[ask.number] = ask
+        self._send(now, ask)
+
+    def _repeat(self, now: float, ask: Ask) -> None:
+        if now - ask.first_sent_at >= GRANT_LIFETIME:
+            self._ask_anew(now, ask)
+        elif ask.partner:
+            self._replicate(now, ask)
+        else:
+            self._send(now, ask)
+
+    def _send(self, now: float, ask: Ask) -> None:
+        ask.sent_at = now
+        if ask.owner is None:
+            return
+        message = self._message(ask)
+        if ask.owner != self._name:
+            self._effects.append(SendPeer(ask.owner, message))
+            return
+        answer = self._arbiter.decide(now, self._name, message)
+        if answer is not None:
+            self._answered(now, self._name, answer)
+
+    def _message(self, ask: Ask) -> ClaimAsk:
+        return ClaimAsk(
+            ask.number,
+            ask.key,
+            ask.intent,
+            ask.attempt,
+            self._name,
+            self.view.incarnation,
+            self.view.revision,
+        )
+
+    @_receives(ClaimAnswer)
+    def _answered(self, now: float, sender: str, answer: ClaimAnswer) -> None:
+        ask = self._asks_by_number.get(answer.number)
+        if ask is None:
+            self._looked(now, sender, answer)
+            return
+        if ask.key != answer.key or ask.owner != sender or ask.partner:
+            return
+        if now - ask.first_sent_at >= GRANT_LIFETIME:
+            # What goes wrong: this process was paused and the grant waited in
+            # its socket, while the key went to another member. It would show
+            # as a doubled request. The owner has to say it again.
+            self._ask_anew(now, ask)
+            return
+        if answer.state not in (ClaimState.GRANTED, ClaimState.REFUSED):
+            self._settle(ask, self._settled_by(ask, answer))
+            return
+        if self._contradicted(now, ask):
+            return
+        if answer.state is ClaimState.REFUSED and ask.intent is ClaimIntent.RUN:
+            self._settle(ask, self._settled_by(ask, answer))
+        elif ask.owner == self._name:
+            self._replicate(now, ask)
+        else:
+            self._hold(now, ask)
+            self._conclude(now, ask)
+
+    def _contradicted(self, now: float, ask: Ask) -> bool:
+        """Settle an ask by a record that another agent left here.
+
+        The owner doesn't look up at the asker, so the asker looks itself.
+        """
+        record = self.records.get(now, ask.key)
+        if record is None or record.runner == self._name:
+            return False
+        if record.state is ClaimState.REFUSED:
+            return False
+        answer = tell(now, self.view, self._message(ask), record)
+        self._settle(ask, self._settled_by(ask, answer))
+        return True
+
+    def _hold(self, now: float, ask: Ask) -> None:
+        """Record a grant or refusal at the asker."""
+        make = granted if ask.intent is ClaimIntent.RUN else refused
+        record = make(now, self._name, self.view.incarnation, ask.attempt)
+        self.records.put(now, ask.key, record)
+
+    def _replicate(self, now: float, ask: Ask) -> None:
+        """As owner and asker: let a second member hold the record first.
+
+        What goes wrong: an agent that owns the claim of what it runs dies,
+        and with it the only record. It would show as a doubled request at
+        the next owner, after a single death.
+        """
+        partners = self.view.partners(ask.key)
+        if not partners:
+            self._was_alone = True
+            self._conclude(now, ask)
+            return
+        record = self.records.get(now, ask.key)
+        if record is None:
+            self._ask_anew(now, ask)
+            return
+        ask.partner = partners[ask.tries // PARTNER_TRIES % len(partners)]
+        ask.tries += 1
+        ask.sent_at = now
+        message = ClaimRecords(
+            self._name,
+            self.view.incarnation,
+            ask.number,
+            (record.message(now, ask.key),),
+            acknowledge=True,
+            revision=self.view.revision,
+        )
+        self._effects.append(SendPeer(ask.partner, message))
+
+    def _conclude(self, now: float, ask: Ask) -> None:
+        record = self.records.get(now, ask.key)
+        if ask.intent is ClaimIntent.REFUSE:
+            self._settle(ask, Settled(ask.request, ClaimState.REFUSED, ""))
+            return
+        if record is not None:
+            record.state = ClaimState.RUNNING
+        self._settle(ask, Settled(ask.request, ClaimState.GRANTED, self._name))
+
+    def _settled_by(self, ask: Ask, answer: ClaimAnswer) -> Settled:
+        return Settled(
+            ask.request,
+            answer.state,
+            answer.runner,
+            answer.answer,
+            answer.retry_after,
+            answer.code,
+        )
+
+    def _settle(self, ask: Ask, settled: Settled) -> None:
+        self.forget(ask.request)
+        self._settled.append(settled)
+
+    def _end(self, now: float, key: bytes, state: ClaimState, answer: bytes) -> None:
+        record = self.records.get(now, key)
+        attempt = record.attempt if record else 0
+        incarnation = record.incarnation if record else self.view.incarnation
+        until = now + KEY_LIFETIME
+        ended = Record(state, self._name, incarnation, attempt, now, until, answer)
+        self.records.put(now, key, ended)
+
+    def _announce(self, now: float, key: bytes) -> None:
+        record = self.records.get(now, key)
+        if record is None or record.state is not ClaimState.FINISHED:
+            return
+        answer = record.answer if len(record.answer) <= SMALL_ANSWER else b""
+        message = ClaimFinished(key, self._name, record.incarnation, True, answer)
+        holders = self.view.partners(key)
+        if self.view.owner(key) == self._name or self._leaving:
+            holders = holders[:2]
+        else:
+            holders = holders[:1]
+        self._effects += [SendPeer(name, message) for name in holders]
+
+    # As owner
+
+    @_receives(ClaimAsk)
+    def _asked(self, now: float, sender: str, ask: ClaimAsk) -> None:
+        if ask.runner != sender or not self.view.valid(sender, ask.incarnation):
+            return
+        look = ask.intent is ClaimIntent.LOOK
+        decide = self._arbiter.look if look else self._arbiter.decide
+        answer = decide(now, sender, ask)
+        if answer is not None:
+            self._effects.append(SendPeer(sender, answer))
+
+    def _looked(self, now: float, sender: str, answer: ClaimAnswer) -> None:
+        reply = self._arbiter.looked(now, sender, answer)
+        if reply is None:
+            return
+        asker, told = reply
+        if asker == self._name:
+            self._answered(now, self._name, told)
+        else:
+            self._effects.append(SendPeer(asker, told))
+
+    # As holder of a copy
+
+    @_receives(ClaimFinished)
+    def _told_finished(self, now: float, sender: str, message: ClaimFinished) -> None:
+        if message.runner != sender or not message.started:
+            return
+        record = Record(
+            ClaimState.FINISHED,
+            sender,
+            message.incarnation,
+            0,
+            now,
+            now + KEY_LIFETIME,
+            message.answer,
+        )
+        self.records.absorb(now, record.message(now, message.key))
+
+    @_receives(ClaimRecords)
+    def _told_records(self, now: float, sender: str, message: ClaimRecords) -> None:
+        if not message.acknowledge:
+            self._acknowledged(now, sender, message.number)
+            return
+        if message.revision and not self._may_hold(sender, message):
+            return
+        taken = [self.records.absorb(now, record) for record in message.records]
+        if message.revision and not all(taken):
+            self._count("claims.contradictions")
+            return
+        if not message.records:
+            self.view.healed(sender)
+        reply = ClaimRecords(self._name, self.view.incarnation, message.number, ())
+        self._effects.append(SendPeer(sender, reply))
+
+    def _may_hold(self, sender: str, message: ClaimRecords) -> bool:
+        """Tell whether a claim made under the sender's roster still counts."""
+        if message.revision < self.view.revision:
+            self._count("claims.view_stale")
+            return False
+        return self.view.valid(sender, message.incarnation)
+
+    def _acknowledged(self, now: float, sender: str, number: int) -> None:
+        if number == self._heal_number:
+            self._healed_peers.add(sender)
+            return
+        if self._handover is not None and self._handover.acknowledged(sender, number):
+            return
+        ask = self._asks_by_number.get(number)
+        if ask is None or ask.partner != sender:
+            return
+        if now - ask.first_sent_at >= GRANT_LIFETIME:
+            self._ask_anew(now, ask)
+            return
+        self._conclude(now, ask)
+
+    # Being alone, and leaving
+
+    def _note_alone(self) -> None:
+        others = [name for name in self.view.ready if name != self._name]
+        if self._name in self.view.ready and not others:
+            self._was_alone = True
+        elif self._was_alone and others and self._handover is None:
+            self._was_alone = False
+            self._healed_peers.clear()
+            self._heal_number = self._next_number()
+            self._handover = self._new_handover()
+
+    def _heal(self, now: float) -> None:
+        """Tell peers, once it is true, that nothing is held here alone."""
+        if not self._heal_number or now < self._heal_at:
+            return
+        if self._handover is not None and not self._handover.done:
+            return
+        self._heal_at = now + HEAL_INTERVAL
+        self.view.healed(self._name)
+        if not self._leaving:
+            self._handover = None
+        message = ClaimRecords(
+            self._name, self.view.incarnation, self._heal_number, (), acknowledge=True
+        )
+        self._effects += [
+            SendPeer(name, message)
+            for name in self.view.ready
+            if name != self._name and name not in self._healed_peers
+        ]
+
+    def _new_handover(self) -> Handover:
+        return Handover(self.view, self.records, self._next_number)
+
+    def _next_number(self) -> int:
+        # Numbers of an earlier life must not match: its answers may be late.
+        return (self.view.incarnation & 0xFFFFFFFF) << 32 | next(self._numbers)
+
+    def _count(self, name: str) -> None:
+        self._effects.append(Count(name))
--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/handovers.py
@@ -0,0 +1,154 @@
+"""Records of claims on their way from one agent to its peers.
+
+A leaving agent hands over what it holds, so that two members still hold each
+claim after it has gone; an agent that was alone does so once it has a peer.
+Batches are repeated until acknowledged.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from .effects import SendPeer
+from .messages import ClaimRecords, ClaimState
+from .records import Record, Records
+from .views import View
+
+__all__ = ["Handover"]
+
+BATCH_RECORDS = 8
+BATCH_BYTES = 1000
+BATCHES_IN_FLIGHT = 20
+REPEAT_AFTER = 0.3
+
+
+@dataclass(slots=True)
+class Batch:
+    """Records sent to one peer and not acknowledged yet."""
+
+    peer: str
+    keys: tuple[bytes, ...]
+    sent_at: float
+
+
+class Handover:
+    """One run through the records of an agent.
+
+    Parameters
+    ----------
+    view : View
+        Tells who is ready to take records.
+    records : Records
+        What is handed over; a record that changes is sent as it is then.
+    next_number : callable
+        Returns a fresh number for a batch.
+    """
+
+    def __init__(
+        self, view: View, records: Records, next_number: Callable[[], int]
+    ) -> None:
+        self._view = view
+        self._records = records
+        self._next_number = next_number
+        self._waiting: deque[bytes] = deque(key for key, _ in records)
+        self._due_by_peer: dict[str, list[bytes]] = {}
+        self._batches_by_number: dict[int, Batch] = {}
+
+    @property
+    def done(self) -> bool:
+        """Whether every record has been acknowledged, or nobody can take one."""
+        if not self._takers():
+            return True
+        return not (self._waiting or self._due_by_peer or self._batches_by_number)
+
+    def acknowledged(self, sender: str, number: int) -> bool:
+        """Note an acknowledgement; False if it isn't of this handover."""
+        batch = self._batches_by_number.get(number)
+        if batch is None or batch.peer != sender:
+            return False
+        del self._batches_by_number[number]
+        return True
+
+    def send(self, now: float) -> list[SendPeer]:
+        """Return what is to be sent now."""
+        self._retarget()
+        effects = []
+        for number, batch in list(self._batches_by_number.items()):
+            if now - batch.sent_at >= REPEAT_AFTER:
+                effects += self._message(now, number, batch)
+        self._sort_out(now)
+        for peer in list(self._due_by_peer):
+            effects += self._send_to(now, peer)
+        return effects
+
+    def _takers(self) -> list[str]:
+        return [name for name in self._view.ready if name != self._view.name]
+
+    def _retarget(self) -> None:
+        takers = self._takers()
+        for number, batch in list(self._batches_by_number.items()):
+            if batch.peer not in takers:
+                self._waiting.extend(batch.keys)
+                del self._batches_by_number[number]
+        for peer in [peer for peer in self._due_by_peer if peer not in takers]:
+            self._waiting.extend(self._due_by_peer.pop(peer))
+
+    def _sort_out(self, now: float) -> None:
+        for _ in range(min(len(self._waiting), BATCHES_IN_FLIGHT * BATCH_RECORDS)):
+            key = self._waiting.popleft()
+            record = self._records.get(now, key)
+            if record is None or self._is_unused(record):
+                continue
+            for peer in self._targets(key, record):
+                self._due_by_peer.setdefault(peer, []).append(key)
+
+    def _is_unused(self, record: Record) -> bool:
+        # A grant to this agent that it never used says nothing to others.
+        own = record.runner == self._view.name
+        return own and record.state is ClaimState.GRANTED
+
+    def _targets(self, key: bytes, record: Record) -> Iterable[str]:
+        """Return who has to take a record so that two members hold it."""
+        others = self._view.partners(key)
+        other_holder = record.runner != self._view.name and self._view.current(
+            record.runner, record.incarnation
+        )
+        if other_holder:
+            return [name for name in others if name != record.runner][:1]
+        return others[:2]
+
+    def _send_to(self, now: float, peer: str) -> list[SendPeer]:
+        effects = []
+        keys = self._due_by_peer[peer]
+        while keys and len(self._batches_by_number) < BATCHES_IN_FLIGHT:
+            size = 0
+            chosen = []
+            while keys and len(chosen) < BATCH_RECORDS:
+                record = self._records.get(now, keys[0])
+                size += len(keys[0]) + (len(record.answer) if record else 0)
+                if chosen and size > BATCH_BYTES:
+                    break
+                chosen.append(keys.pop(0))
+            number = self._next_number()
+            batch = Batch(peer, tuple(chosen), now)
+            self._batches_by_number[number] = batch
+            effects += self._message(now, number, batch)
+        if not keys:
+            del self._due_by_peer[peer]
+        return effects
+
+    def _message(self, now: float, number: int, batch: Batch) -> list[SendPeer]:
+        found = ((key, self._records.get(now, key)) for key in batch.keys)
+        records = tuple(record.message(now, key) for key, record in found if record)
+        if not records:
+            # An empty batch would say something else.
+            del self._batches_by_number[number]
+            return []
+        batch.sent_at = now
+        view = self._view
+        message = ClaimRecords(
+            view.name, view.incarnation, number, records, acknowledge=True
+        )
+        return [SendPeer(batch.peer, message)]
--- a/packages/zinniahook-core/src/zinniahook_core/messages.py
+++ b/packages/zinniahook-core/src/zinniahook_core/messages.py
@@ -163,7 +163,8 @@
 
     With ``acknowledge`` the receiver sends the number back, without records
     or ``acknowledge``. An empty batch to be acknowledged says that the sender
-    holds no record alone any more.
+    holds no record alone any more. ``revision`` is the sender's roster revision
+    if the records are claims made under it, 0 if they are past ones.
     """
 
     sender: str
--- a/packages/zinniahook-core/src/zinniahook_core/requests.py
+++ b/packages/zinniahook-core/src/zinniahook_core/requests.py
@@ -10,7 +10,7 @@
 import enum
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from .admission import Admission, Decision, Verdict
@@ -40,12 +40,14 @@
 from .messages import ClaimIntent, ClaimState
 from .models import AgentState, Load, Member, Service
 from .placement import coldness
+from .records import UNNUMBERED_LIFETIME
 
 __all__ = ["Requests"]
 
 KEY_LIMIT = 128
-REFUSE_WAIT = 1.0
-CLAIM_WAIT = 4.0
+REFUSE_WAIT = 8.0
+"""Longer than it takes to mark a dead claim owner down."""
+
 PARK_AFTER = 0.3
 RELAYS_LIMIT = 2
 RETRIES_LIMIT = 1
@@ -172,8 +174,10 @@
 
     @property
     def idle(self) -> bool:
-        """Whether nothing is in progress here."""
-        return not self._open_by_request
+        """Whether nothing is in progress here, nor to be handed over."""
+        if self._open_by_request:
+            return False
+        return not self._leaving or self.claims.handed_over
 
     def handle(self, now: float, event: AgentEvent) -> list[AgentEffect]:
         """Decide on one event; events of no concern have no effect."""
@@ -222,8 +226,10 @@
         member = event.roster.by_name.get(self._name)
         if member is None:
             return
-        self._member = member
-        self._leaving = self._leaving or member.state is AgentState.LEAVING
+        former, self._member = self._member, member
+        if member.state is AgentState.LEAVING and not _is_leaving(former):
+            self._leaving = True
+            self.claims.leave()
         if member.state is AgentState.READY and self._ready_since is None:
             self._ready_since = now
         self.admission.configure(self._slots, self._service.classes_by_name)
@@ -231,6 +237,7 @@
     @_handles(DrainRequested)
     def _drain(self, now: float, event: DrainRequested) -> None:
         self._leaving = True
+        self.claims.leave()
 
     @_handles(PeerDatagram)
     def _receive(self, now: float, event: PeerDatagram) -> None:
@@ -337,6 +344,10 @@
         if self._placement is not None:
             self._placement.handed(now, peer)
         self._effects.append(Relay(item.number, peer))
+        self._join_followers(item)
+
+    def _join_followers(self, item: Open) -> None:
+        self._effects += [JoinRequest(number, item.number) for number in item.followers]
 
     def _admit(self, now: float, item: Open) -> None:
         event = item.event
@@ -358,9 +369,13 @@
             return
         item.stage = Stage.CLAIMING
         event = item.event
-        until = min(item.deadline, now + CLAIM_WAIT)
         self.claims.begin(
-            now, event.request, event.key, event.attempt, ClaimIntent.RUN, until
+            now,
+            event.request,
+            event.key,
+            event.attempt,
+            ClaimIntent.RUN,
+            item.deadline,
         )
 
     def _park(self, now: float, item: Open) -> None:
@@ -382,6 +397,9 @@
         # after its caller was told that it hasn't.
         item.stage = Stage.REFUSING
         event = item.event
+        if not event.attempt:
+            retry_after = max(refusal.retry_after, UNNUMBERED_LIFETIME)
+            item.refusal = replace(refusal, retry_after=retry_after)
         self.claims.begin(
             now,
             event.request,
@@ -389,7 +407,6 @@
             event.attempt,
             ClaimIntent.REFUSE,
             now + REFUSE_WAIT,
-            refusal.retry_after,
         )
 
     def _follow(self, now: float, item: Open) -> bool:
@@ -399,14 +416,14 @@
         if leader is not None:
             leader.followers.append(item.number)
             item.stage = Stage.JOINED
-            if leader.stage is Stage.RUNNING:
+            if leader.stage in (Stage.RUNNING, Stage.RELAYED):
                 self._effects.append(JoinRequest(item.number, leader.number))
             return True
         self._leader_by_key[key] = item.number
-        state, runner, answer = self.claims.known(now, key)
-        if state in (ClaimState.NONE, ClaimState.REFUSED):
+        known = self.claims.known(now, key)
+        if known is None:
             return False
-        self._settle(now, Settled(item.number, state, runner, answer))
+        self._settle(now, known._replace(request=item.number))
         return True
 
     def _detach(self, item: Open) -> None:
@@ -514,9 +531,7 @@
         if settled.runner == self._name or item.relays >= RELAYS_LIMIT:
             self._conclude(item, Outcome(OutcomeKind.UNKNOWN, Code.ANSWER_LOST))
             return
-        followers, item.followers = item.followers, []
-        for number in (item.number, *followers):
-            self._relay(now, self._open_by_request[number], settled.runner)
+        self._relay(now, item, settled.runner)
 
     @_settles(ClaimState.REFUSED)
     def _refused(self, now: float, answer: tuple[Open, Settled]) -> None:
@@ -581,3 +596,7 @@
 
     def _load(self) -> Load:
         return Load(self.admission.slots, self.busy, self.queued, 0, self.streams)
+
+
+def _is_leaving(member: Member | None) -> bool:
+    return member is not None and member.state is AgentState.LEAVING
