entry: drop the hint of an owner that no longer answers

Symptom: packets of a plain UDP flow get no answer for as long as the store is down. Sequence: the flow's owner stops in an outage; no roster says so; the entry goes on sending to it. Cause: a hint once learned was trusted until a roster ended it. Change: a hint without an answer for 3 s after a packet is dropped and the flow goes to its home. Measured: the new test fails without the change and passes with it; no measurement of speed.

--- a/packages/zinniahook-core/src/zinniahook_core/entries.py
+++ b/packages/zinniahook-core/src/zinniahook_core/entries.py
@@ -37,6 +37,15 @@
 __all__ = ["EntryCore"]
 
 OWNERS_LIMIT = 65536
+HINT_PATIENCE = 3.0
+
+
+@dataclass(slots=True)
+class Hint:
+    """Who answered a flow last; ``waiting`` since the first packet after."""
+
+    agent: Address
+    waiting: float | None = None
 
 
 @dataclass(slots=True)
@@ -64,7 +73,7 @@
         self._configuration: Configuration | None = None
         self._connection_ids: ConnectionIds | None = None
         self._views_by_service: dict[str, ServiceView] = {}
-        self._owners: OrderedDict[tuple[str, Address], Address] = OrderedDict()
+        self._owners: OrderedDict[tuple[str, Address], Hint] = OrderedDict()
 
     @property
     def configuration(self) -> Configuration | None:
@@ -157,13 +166,13 @@
         self, now: float, service: Service, caller: Address
     ) -> Address | Code:
         flow = (service.name, caller)
-        owner = self._owners.get(flow)
-        if owner is None:
+        hint = self._owners.get(flow)
+        if hint is None:
             return self._route_opening(now, service, caller, flow_key(caller))
         view = self._views_by_service.get(service.name)
-        if view is not None and owner in view.live:
+        if view is not None and hint.agent in view.live and _is_fresh(now, hint):
             self._owners.move_to_end(flow)
-            return owner
+            return hint.agent
         del self._owners[flow]
         return self._route_opening(now, service, caller, flow_key(caller))
 
@@ -189,7 +198,7 @@
     def _remember(self, service: str, caller: Address, agent: Address) -> None:
         owners = self._owners
         flow = (service, caller)
-        owners[flow] = agent
+        owners[flow] = Hint(agent)
         owners.move_to_end(flow)
         if len(owners) > OWNERS_LIMIT:
             owners.popitem(last=False)
@@ -264,5 +273,15 @@
         return service is None or may_serve(service, member)
 
 
+def _is_fresh(now: float, hint: Hint) -> bool:
+    # What goes wrong: the owner stops while the store is down, no roster says
+    # so, and the flow's packets go to nobody for as long as that lasts. One
+    # notices it by the missing answers. The home then finds the owner, or
+    # opens the flow anew if there is none.
+    if hint.waiting is None:
+        hint.waiting = now
+    return now - hint.waiting <= HINT_PATIENCE
+
+
 def _log(event: str, service: str, agent: str) -> Log:
     return Log(event, (("service", service), ("agent", agent)))
--- a/packages/zinniahook-core/tests/test_routing.py
+++ b/packages/zinniahook-core/tests/test_routing.py
@@ -266,6 +266,23 @@
         core.handle(1.0, RosterChanged(roster(FEED, 2, members)))
         assert core.handle(1.0, event) == [ToAgent(home)]
 
+    def test_hint_without_answers_is_dropped(self):
+        """A feed fell silent for as long as the store was down.
+
+        Symptom: packets of a plain UDP flow get no answer for minutes.
+        Sequence: its owner stops while the store is down, so that no roster
+        tells the entry.
+        Cause: the entry trusted the last answer for ever.
+        """
+        members = [member(FEED, index) for index in range(4)]
+        core = entry(roster(FEED, 1, members))
+        home = core.route(0.0, FEED, CALLER, b"x")
+        other = next(one for one in members if one.tunnel != home)
+        core.handle(0.0, AnswerSeen("feed", CALLER, other.tunnel))
+        assert core.route(10.0, FEED, CALLER, b"x") == other.tunnel
+        assert core.route(12.9, FEED, CALLER, b"x") == other.tunnel
+        assert core.route(13.1, FEED, CALLER, b"x") == home
+
     def test_an_answer_of_a_stranger_is_no_hint(self):
         core = entry(roster(FEED, 1, [member(FEED, 1)]))
         core.handle(0.0, AnswerSeen("feed", CALLER, Address("203.0.113.9", 1)))
