core: a state machine of faults; presume the dead while the store is down

Cause: the promises were checked one fault at a time, and with the store down the pointers of homes led to a dead owner without end. Change: a hypothesis machine drives agents, entries, callers and a store through loss, pauses, crashes, joins, drains and outages, with one broken variant for each promise; flows follow a roster without members that were silent for 15 s, claims follow the stored one only.

--- a/packages/zinniahook-core/src/zinniahook_core/agents.py
+++ b/packages/zinniahook-core/src/zinniahook_core/agents.py
@@ -81,6 +81,7 @@
         unknown = Service(service, 0, Address("0.0.0.0", 0))
         self.requests = Requests(identity.name, unknown, rng, self.placement)
         self._known = self.membership.roster
+        self._believed = self.membership.believed
         self._ready_since: float | None = None
         self._running: set[int] = set()
 
@@ -145,9 +146,11 @@
                 self.flows.clear()
                 self._running.clear()
                 followed += self.requests.restart(now, effect.incarnation)
+        if self._believed is not self.membership.believed:
+            self._believed = self.membership.believed
+            self.flows.roster(now, self._believed)
         if self._known is not self.membership.roster:
             self._known = self.membership.roster
-            self.flows.roster(now, self._known)
             self.placement.roster(now, self._known)
             followed += self.requests.handle(now, RosterChanged(self._known))
         if self._ready_since is None and self.state is AgentState.READY:
--- a/packages/zinniahook-core/src/zinniahook_core/liveness.py
+++ b/packages/zinniahook-core/src/zinniahook_core/liveness.py
@@ -26,6 +26,8 @@
 """How long each next marker in rank waits for the one before it."""
 ALONE_FACTOR = 3.0
 LONGEST_PATIENCE = 64
+PRESUMED_AFTER = 15.0
+"""Silence after which a mark is missing because the store is down."""
 MARK_WINDOW = 30.0
 MARKED_SHARE = 0.5
 
@@ -143,6 +145,22 @@
         due = [m for m in roster.by_name.values() if self._has_to_mark(now, m)]
         return due[:allowance]
 
+    def presumed(self, now: float, roster: Roster) -> frozenset[str]:
+        """Return the members that would be marked if the store were up.
+
+        Nobody is presumed dead by an agent that hears nobody, and at most
+        the share that may be marked at once.
+        """
+        if not self.live(now):
+            return frozenset()
+        silent = [
+            name
+            for name, sighting in self._sightings_by_name.items()
+            if now - sighting.at > PRESUMED_AFTER
+        ]
+        most = max(1, int(len(roster.by_name) * MARKED_SHARE))
+        return frozenset(silent[:most])
+
     def expired(self, now: float, names: Iterable[str], retention: float) -> list[str]:
         """Return those of ``names`` that were marked down long enough ago."""
         since = self._down_since_by_name
--- a/packages/zinniahook-core/src/zinniahook_core/membership.py
+++ b/packages/zinniahook-core/src/zinniahook_core/membership.py
@@ -63,7 +63,9 @@
         self.identity = identity._replace(state=AgentState.STARTING)
         self.roster = Roster(service, 0, {})
         self.generation = 0
+        self.believed = self.roster
         self.drained = False
+        self._presumed: frozenset[str] = frozenset()
         self._rng = rng
         self._load = load
         self._liveness = Liveness(identity.name)
@@ -177,6 +179,7 @@
             # Whoever is marked down gets no more heartbeats.
             effects += self._read_stale(now)
         effects += self._leave(now, busy)
+        self._believe(now)
         return effects + self._reconcile(now)
 
     def hear(self, now: float, sender: str, heartbeat: Heartbeat) -> list[AgentEffect]:
@@ -261,8 +264,26 @@
         former = self.roster
         self.roster = roster
         self._liveness.learn(now, roster)
+        self._presumed = frozenset()
+        self.believed = roster
         return [*_marks(former, roster), *self._check_own(now)]
 
+    def _believe(self, now: float) -> None:
+        """Keep ``believed``: the roster without those presumed dead.
+
+        What goes wrong: an agent dies while the store is down, nobody can
+        mark it, and packets of plain UDP flows are forwarded to it until the
+        store is back. Claims must not move without a mark; flows may.
+        """
+        presumed = self._liveness.presumed(now, self.roster)
+        if presumed == self._presumed:
+            return
+        self._presumed = presumed
+        by_name = dict(self.roster.by_name)
+        for name in presumed:
+            by_name[name] = by_name[name]._replace(state=AgentState.DOWN)
+        self.believed = self.roster._replace(by_name=by_name)
+
     def _check_own(self, now: float) -> list[AgentEffect]:
         stored = self.roster.by_name.get(self.identity.name)
         if stored is None and self._highest > self.incarnation:
--- a/packages/zinniahook-core/tests/core_clusters.py
+++ b/packages/zinniahook-core/tests/core_clusters.py
@@ -30,6 +30,8 @@
         self.nodes, self.violations = {}, []
         self.executions, self.told, self.connections = [], [], []
         self.owner_by_flow = {}
+        self.delivered_at = {}
+        self.flows_expected = True
         self.connection_ids = ConnectionIds(KEYS, 1, self.rng)
         self.entries = [self.start_entry(number) for number in range(entries)]
         for service, count in agents_by_service.items():
@@ -219,7 +221,8 @@
     def delivered(self, node, effect):
         owner = (node.name, node.core.identity.incarnation)
         former = self.owner_by_flow.setdefault(effect.flow, owner)
-        if former != owner:
+        self.delivered_at[effect.flow] = self.now
+        if former != owner and self.flows_expected:
             self.violations.append(f"flow moved from {former} to {owner}")
         for entry in self.entries:
             if entry.address == effect.entry:
@@ -233,9 +236,11 @@
         execution = Execution(request.key, request.attempt, node.name)
         self.executions.append(execution)
 
-    def forget_flows(self):
-        """Expect nothing of flows that an unplanned fault may have broken."""
-        self.owner_by_flow.clear()
+    def stopped(self, node):
+        """Expect no more of the flows of a node that has drained."""
+        owners = self.owner_by_flow.items()
+        kept = {flow: owner for flow, owner in owners if owner[0] != node.name}
+        self.owner_by_flow = kept
 
     def broken(self):
         """Return every violated promise so far."""
--- a/packages/zinniahook-core/tests/core_fakes.py
+++ b/packages/zinniahook-core/tests/core_fakes.py
@@ -251,6 +251,7 @@
 
     def on_drained(self, effect):
         self.stop()
+        self.cluster.stopped(self)
 
     def drop_connections(self):
         self.flows_by_id.clear()
--- a/packages/zinniahook-core/tests/test_agents.py
+++ b/packages/zinniahook-core/tests/test_agents.py
@@ -116,6 +116,35 @@
         assert len(cluster.connections) == 5
         assert [told.kind for told in cluster.told] == [OutcomeKind.DONE] * 5
 
+    def test_flows_of_a_dead_agent_are_opened_elsewhere(self):
+        """Symptom: a feed is silent for as long as the store is down.
+
+        Sequence: the owner of plain UDP flows dies in an outage; entries
+        and the flows' homes go on sending their packets to it.
+        Cause: only a roster could end the trust in a known owner.
+        """
+        cluster = Cluster(4, {"feed": 4})
+        flows = range(40)
+        for _ in range(8):
+            for number in flows:
+                cluster.send(number)
+            cluster.run(0.5)
+        cluster.set_store(down=True)
+        dead = cluster.live("feed")[0]
+        lost = {
+            f for f, (name, _) in cluster.owner_by_flow.items() if name == dead.name
+        }
+        kept = len(cluster.owner_by_flow) - len(lost)
+        assert lost
+        dead.stop()
+        cluster.stopped(dead)
+        for _ in range(30):
+            for number in flows:
+                cluster.send(number)
+            cluster.run(1.0)
+        assert len(cluster.owner_by_flow) == kept + len(lost)
+        assert cluster.broken() == []
+
 
 class TestPaths:
     ENTRIES = [Address("10.2.0.1", 7000 + number) for number in range(4)]
--- /dev/null
+++ b/packages/zinniahook-core/tests/test_machine.py
@@ -0,0 +1,308 @@
+"""Random faults against real cores; the promises are checked at each step.
+
+``TestPromises`` runs the cores as they are. ``TestChecksCanFail`` breaks one
+part at a time and shows that the check of that promise notices it.
+"""
+
+import pytest
+from core_clusters import Cluster
+from hypothesis import HealthCheck, Phase, Verbosity, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from zinniahook_core import (
+    agents,
+    claims,
+    entries,
+    events,
+    homes,
+    owners,
+    requests,
+    routing,
+)
+from zinniahook_core.codes import Code, Outcome, OutcomeKind
+from zinniahook_core.messages import ClaimIntent, ClaimState
+
+AGENTS = {"tally": 3, "ledger": 1, "feed": 3}
+MOST_AGENTS = 6
+FLOWS = 6
+REQUEST_SERVICES = ("tally", "ledger")
+DELAYS = (0.0, 0.02, 0.4, 3.0, 12.0)
+QUIET = (
+    HealthCheck.too_slow,
+    HealthCheck.filter_too_much,
+    HealthCheck.data_too_large,
+    HealthCheck.large_base_example,
+)
+
+index = st.integers(0, 1000)
+delay = st.sampled_from(DELAYS)
+service = st.sampled_from(REQUEST_SERVICES)
+any_service = st.sampled_from(tuple(AGENTS))
+
+
+class Faults(RuleBasedStateMachine):
+    """What callers, operators, the platform and chance do to a cluster."""
+
+    @initialize(seed=index, loss=st.sampled_from((0.0, 0.1)))
+    def start(self, seed, loss):
+        self.cluster = Cluster(seed, AGENTS, loss=loss, doubled=0.1)
+        self.attempts_by_key = {}
+        for name in REQUEST_SERVICES * 2:
+            self.cluster.connect(name)
+        self.send_on_flows()
+
+    @invariant()
+    def promises_hold(self):
+        broken = self.cluster.broken()
+        assert not broken, broken
+
+    @rule(seconds=st.sampled_from((0.1, 0.5, 2.0, 6.0)))
+    def pass_time(self, seconds):
+        self.cluster.run(seconds)
+
+    # Callers
+
+    @rule(service=service)
+    def connect(self, service):
+        self.cluster.connect(service)
+        self.cluster.run(0.1)
+
+    @rule(which=index, service=service, first=delay, second=delay)
+    def file_request(self, which, service, first, second):
+        """Send a new request, and again before its answer is known."""
+        key = self.new_key(service)
+        self.send(which, key, 1, first)
+        self.send(which + 1, key, 2, second)
+        self.cluster.run(0.1)
+
+    @rule(which=index, service=service, late=st.sampled_from((0.0, 3.0)))
+    def flood(self, which, service, late):
+        """Send more at once than one agent takes, the first copies late."""
+        for _ in range(24):
+            key = self.new_key(service)
+            self.send(which, key, 1, late)
+            self.send(which, key, 2, 0.1)
+        self.cluster.run(0.5)
+
+    @precondition(lambda self: self.attempts_by_key)
+    @rule(which=index, over=index, delay=delay)
+    def retry(self, which, over, delay):
+        key = self.pick(tuple(self.attempts_by_key), which)
+        self.attempts_by_key[key] += 1
+        self.send(over, key, self.attempts_by_key[key], delay)
+        self.cluster.run(0.1)
+
+    @rule()
+    def send_on_flows(self):
+        """Send on every flow until each had the time to get through."""
+        cluster, sent = self.cluster, self.cluster.now
+        established = dict(cluster.owner_by_flow)
+        for _ in range(4):
+            for number in range(FLOWS):
+                cluster.send(number)
+            cluster.run(0.8)
+        kept = established.items() & cluster.owner_by_flow.items()
+        cut = [flow for flow, _ in kept if cluster.delivered_at[flow] < sent]
+        if cut and cluster.flows_expected:
+            cluster.violations.append(f"no packet gets through on flows {cut}")
+
+    @rule(which=index, address=any_service)
+    def misdirect(self, which, address):
+        """Send a packet of one service to the address of another."""
+        connections = [c for c in self.cluster.connections if c[0] != address]
+        if connections:
+            _, _, connection_id, flow = self.pick(connections, which)
+            self.cluster.send_request(address, connection_id, flow, b"astray", 1)
+
+    # Planned changes
+
+    @rule(service=any_service)
+    def join(self, service):
+        if len(self.cluster.live(service)) < MOST_AGENTS:
+            self.cluster.join(service)
+
+    @rule(which=index, service=any_service, seconds=st.sampled_from((4.0, 30.0)))
+    def drain(self, which, service, seconds):
+        staying = [
+            node
+            for node in self.cluster.live(service)
+            if node.leaving_since is None and node.core.membership.accepting
+        ]
+        if len(staying) > 1:
+            self.cluster.drain(self.pick(staying, which), seconds)
+
+    @rule(which=index)
+    def replace_entry(self, which):
+        self.cluster.replace_entry(which % len(self.cluster.entries))
+
+    @rule()
+    def configure(self):
+        self.cluster.configure()
+
+    # Faults
+
+    @rule(which=index, service=service, back=st.booleans())
+    def crash(self, which, service, back):
+        if nodes := self.cluster.live(service):
+            node = self.pick(nodes, which)
+            node.stop()
+            if back:
+                self.cluster.join(service, node.name)
+
+    @rule(which=index, service=service, seconds=st.sampled_from((1.0, 4.0, 9.0)))
+    def pause(self, which, service, seconds):
+        if nodes := self.cluster.live(service):
+            node = self.pick(nodes, which)
+            node.paused = True
+            self.cluster.at(seconds, node.resume)
+
+    @rule(which=index)
+    def crash_feed(self, which):
+        if nodes := self.cluster.live("feed"):
+            self.cluster.flows_expected = False
+            node = self.pick(nodes, which)
+            node.stop()
+            self.cluster.join("feed", node.name)
+
+    @rule(down=st.booleans())
+    def store(self, down):
+        self.cluster.set_store(down)
+
+    @rule(losing=st.booleans())
+    def lose_store_answers(self, losing):
+        self.cluster.store.losing = losing
+
+    def new_key(self, service):
+        key = f"{service} {len(self.attempts_by_key)}".encode()
+        self.attempts_by_key[key] = 2
+        return key
+
+    def send(self, which, key, attempt, seconds):
+        service = key.decode().partition(" ")[0]
+        connections = [c for c in self.cluster.connections if c[0] == service]
+        if connections:
+            connection = self.pick(connections, which)
+            self.cluster.request(connection, key, attempt, seconds)
+
+    @staticmethod
+    def pick(items, which):
+        return items[which % len(items)]
+
+
+def check(machine, examples, steps, verbosity=Verbosity.quiet):
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            derandomize=True,
+            database=None,
+            deadline=None,
+            phases=(Phase.generate,),
+            verbosity=verbosity,
+            suppress_health_check=QUIET,
+        ),
+    )
+
+
+class TestPromises:
+    def test_hold_under_faults(self):
+        check(Faults, examples=60, steps=40)
+
+
+def grant_always(self, now, request, key, attempt, intent, *rest):
+    """Settle a claim without asking anybody."""
+    refuses = intent is ClaimIntent.REFUSE
+    state = ClaimState.REFUSED if refuses else ClaimState.GRANTED
+    self._settled.append(claims.Settled(request, state, self._name))
+
+
+def refuse_without_tombstone(self, now, item, refusal):
+    """Say "not run" while another copy may still run."""
+    self._conclude(item, Outcome(OutcomeKind.NOT_RUN, refusal.code, 1.0))
+
+
+def route_by_owner_alone(self, now, service, caller, payload):
+    """Route by the connection id, whatever service it was issued for."""
+    destination = routing.destination_of(payload)
+    if not isinstance(destination, Code):
+        owner = self._connection_ids.decode(destination[1])
+        if isinstance(owner, routing.Owner):
+            return owner.agent
+    return sound_route(self, now, service, caller, payload)
+
+
+def take_any_generation(self, now, event):
+    """Take whatever configuration arrives last."""
+    self.configuration = event.configuration
+    return []
+
+
+def ignore(self, now, event):
+    """Do nothing on an event."""
+    return []
+
+
+def never(self, now, flow):
+    """Take every flow of this home for a new one."""
+    return False
+
+
+def tell_nobody(self, now, incarnation):
+    """Leave the new home of a flow without a pointer to its owner."""
+    return []
+
+
+def stop_at_once(self, now, event):
+    """Leave without letting flows finish."""
+    self.flows.clear()
+    return sound_drain(self, now, event)
+
+
+sound_drain = agents._HANDLERS_BY_EVENT[events.DrainRequested]
+sound_route = entries.EntryCore.route
+
+
+class TestChecksCanFail:
+    def catches(self, promise, examples=60):
+        with pytest.raises(AssertionError, match=promise):
+            check(Faults, examples, steps=40)
+
+    def test_request_that_runs_twice(self, monkeypatch):
+        monkeypatch.setattr(claims.Claims, "begin", grant_always)
+        self.catches("ran twice")
+
+    def test_not_run_that_is_untrue(self, monkeypatch):
+        monkeypatch.setattr(requests.Requests, "_refuse", refuse_without_tombstone)
+        self.catches("ran, though told not")
+
+    def test_packet_that_crosses_services(self, monkeypatch):
+        monkeypatch.setattr(entries.EntryCore, "route", route_by_owner_alone)
+        self.catches("packet at")
+
+    def test_new_work_on_a_leaving_agent(self, monkeypatch):
+        handlers = agents._HANDLERS_BY_EVENT
+        monkeypatch.setitem(handlers, events.DrainRequested, ignore)
+        self.catches("at leaving")
+
+    def test_generation_that_goes_down(self, monkeypatch):
+        handlers = agents._HANDLERS_BY_EVENT
+        monkeypatch.setitem(handlers, events.ConfigurationChanged, take_any_generation)
+        self.catches("generation went down")
+
+    def test_flow_lost_to_a_planned_change(self, monkeypatch):
+        monkeypatch.setattr(homes.Homes, "was_elsewhere", never)
+        monkeypatch.setattr(owners.OwnedFlows, "messages", tell_nobody)
+        self.catches("flow moved")
+
+    def test_flow_dropped_by_a_leaving_agent(self, monkeypatch):
+        handlers = agents._HANDLERS_BY_EVENT
+        monkeypatch.setitem(handlers, events.DrainRequested, stop_at_once)
+        self.catches("flow moved")
