--- a/packages/zinniahook-testkit/src/zinniahook_testkit/bench.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/bench.py
@@ -93,7 +93,8 @@
         before = f"{earlier[name]:.6g}" if name in earlier else "-"
         unit = result["units"][name]
         lines.append(
-            f"  {name:<44} {value:>12.6g} {unit:<8} before {before:>10}{limit} {verdict}"
+            f"  {name:<44} {value:>12.6g} {unit:<8} before {before:>10}{limit}"
+            f" {verdict}"
         )
     lines += [
         f"  {entry.figure:<44} not measured BROKEN"
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/packets.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packets.py
@@ -13,13 +13,13 @@
 import random
 import socket
 import tempfile
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from contextlib import ExitStack
 from pathlib import Path
 from typing import NamedTuple
 
 from zinniahook_core.configuration import parse
-from zinniahook_core.models import Address, AgentState, Key, Member, Roster
+from zinniahook_core.models import Address, AgentState, Member, Roster
 from zinniahook_core.routing import ConnectionIds, Owner
 from zinniahook_store.client import Store
 from zinniahook_store.configurations import Committed, commit, new_operation, read
@@ -72,7 +72,7 @@
             start("zinniahook_daemon.main", "--settings", text)
         )
         self.address = (HOST, self.port)
-        self.tunnel_address = Address.parse(self.entry.ready["ready"]["tunnel"])
+        self.tunnel_address = Address.parse(self.entry.ready["tunnel"])
         self.tunnel = Tunnel(self.keys.tunnel_keys_by_number, self.keys.tunnel_key)
 
     def flows(self, count: int, size: int, seed: int) -> list[bytes]:
@@ -160,7 +160,7 @@
     sink = _bound_socket(stack)
     host, port = sink.getsockname()
     with start("zinniahook_testkit.relay", f"{host}:{port}") as relay:
-        to = Address.parse(relay.ready["ready"]["address"])
+        to = Address.parse(relay.ready["address"])
         return measure_cost(relay, [bytes(size)], to, sink, total)
 
 
