Run the whole path with real processes

Callers, fabric, entries, agents, targets and a store now carry tickets, feeds, ledgers and plain UDP flows; a UDP target counts as ready as long as its port isn't refused. Run: tests/test_agent_path.py, 5 passed (the UDP one in a run of its own).

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
@@ -28,12 +28,14 @@
     RequestCancelled,
     RequestFinished,
     RosterChanged,
+    TargetReported,
     Tick,
 )
 from zinniahook_core.models import (
     AgentState,
     Configuration,
     Member,
+    Protocol,
     Roster,
     Service,
 )
@@ -216,8 +218,11 @@
         self.relays.keep({member.control for member in self.roster.by_name.values()})
 
     async def _probe(self) -> None:
-        report = await self.target.probe()
-        self.feed(report)
+        if self.service.protocol is Protocol.UDP:
+            # A plain UDP target has no endpoint that could be asked.
+            self.feed(TargetReported(not self.traffic.flows.refused, None, True))
+            return
+        self.feed(await self.target.probe())
 
     async def _serve_relay(self, stream: Any) -> None:
         await serve_relay(stream, self.arrived, self.cancelled)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/udpflows.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/udpflows.py
@@ -2,26 +2,33 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 from collections.abc import Callable
-from functools import partial
 
 from zinniahook_core.models import Address
 
-from .sockets import UdpSocket
-
 __all__ = ["UdpFlows"]
 
 FLOWS = 16 * 1024
 """Flows an agent holds at a time; each is a socket of the process."""
 
+BATCH = 32
+"""Most datagrams read of one flow per wake-up."""
+
+LARGEST = 65_535
+
+REFUSED_TIME = 3.0
+"""Seconds for which a refusal counts as evidence that the target is down."""
+
 
 class _Flow:
     """One flow and the way its answers go."""
 
     __slots__ = ("caller", "entry", "socket")
 
-    def __init__(self, socket: UdpSocket, caller: Address) -> None:
-        self.socket = socket
+    def __init__(self, connected: socket.socket, caller: Address) -> None:
+        self.socket = connected
         self.caller = caller
         self.entry = caller
 
@@ -43,24 +50,40 @@
         self._target = target
         self._answer = answer
         self._by_flow: dict[bytes, _Flow] = {}
+        self._loop = asyncio.get_running_loop()
+        self._refused_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._by_flow)
 
+    @property
+    def refused(self) -> bool:
+        """Whether nobody listened at the target's port lately."""
+        return self._loop.time() - self._refused_at < REFUSED_TIME
+
     def deliver(
         self, flow: bytes, caller: Address, entry: Address, payload: bytes
     ) -> bool:
-        """Give a payload to the target; False if there is no socket for it."""
+        """Give a payload to the target; False if it is lost."""
         found = self._by_flow.get(flow) or self._open(flow, caller)
         if found is None:
             return False
         found.entry = entry
-        return found.socket.send(payload, self._target)
+        try:
+            found.socket.send(payload)
+        except ConnectionRefusedError:
+            # An earlier payload met a closed port; this one wasn't sent.
+            self._refused_at = self._loop.time()
+            return False
+        except OSError:
+            return False
+        return True
 
     def end(self, flow: bytes) -> None:
         """Release a flow."""
         found = self._by_flow.pop(flow, None)
         if found is not None:
+            self._loop.remove_reader(found.socket.fileno())
             found.socket.close()
 
     def close(self) -> None:
@@ -71,17 +94,33 @@
     def _open(self, flow: bytes, caller: Address) -> _Flow | None:
         if len(self._by_flow) >= FLOWS:
             return None
-        host = "::" if ":" in self._target.host else "0.0.0.0"
+        family = socket.AF_INET6 if ":" in self._target.host else socket.AF_INET
+        try:
+            connected = socket.socket(family, socket.SOCK_DGRAM)
+        except OSError:
+            return None
         try:
-            socket = UdpSocket(Address(host, 0), partial(self._receive, flow))
+            connected.setblocking(False)
+            # Connected, the socket takes datagrams of the target alone, and
+            # tells of a closed port.
+            connected.connect(tuple(self._target))
         except OSError:
+            connected.close()
             return None
-        found = self._by_flow[flow] = _Flow(socket, caller)
+        found = self._by_flow[flow] = _Flow(connected, caller)
+        self._loop.add_reader(connected.fileno(), self._read, flow)
         return found
 
-    def _receive(self, flow: bytes, payload: bytes, source: tuple) -> None:
+    def _read(self, flow: bytes) -> None:
         found = self._by_flow.get(flow)
-        # The port is open to the whole machine; only the target may answer.
-        if found is None or Address(source[0], source[1]) != self._target:
+        if found is None:
+            return
+        try:
+            for _ in range(BATCH):
+                payload = found.socket.recv(LARGEST)
+                self._answer(flow, found.caller, found.entry, payload)
+        except ConnectionRefusedError:
+            self._refused_at = self._loop.time()
+        except OSError:
+            # BlockingIOError ends the batch; the rest is as good as a loss.
             return
-        self._answer(flow, found.caller, found.entry, payload)
--- /dev/null
+++ b/tests/test_agent_path.py
@@ -0,0 +1,297 @@
+"""Callers, fabric, entries, agents, targets and store as real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import urllib.request
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import pytest
+import tomli_w
+from zinniahook_caller import Session
+from zinniahook_core.configuration import parse
+from zinniahook_core.models import Address
+from zinniahook_store import Store
+from zinniahook_store.configurations import Committed, commit, new_operation, read
+from zinniahook_testkit import processes, stores
+from zinniahook_testkit.certificates import Authority
+
+PATIENCE = 30.0
+HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
+LEDGER = 48 * 1024 * 1024
+
+DOCUMENT = """
+[services.tally]
+number = 1
+address = "{address}"
+protocol = "quic"
+drain = 20.0
+
+[services.tally.classes.feed]
+prefix = "/tally/feed"
+slots = 0
+
+[services.tally.classes.ledger]
+prefix = "/ledger"
+slots = 1
+deadline = 20.0
+
+[services.tally.classes.ticket]
+prefix = "/tickets"
+slots = 1
+
+[services.pulse]
+number = 2
+address = "{pulse}"
+protocol = "udp"
+"""
+
+
+class Member:
+    """A target and the agent beside it."""
+
+    def __init__(self, target: processes.Process, agent: processes.Process) -> None:
+        self.target = target
+        self.agent = agent
+
+    def ledger(self) -> dict:
+        """Return the target's own record of what ran."""
+        admin = self.target.ready["admin"]
+        with urllib.request.urlopen(f"http://{admin}/ledger-of-runs") as answer:
+            return json.load(answer)
+
+
+class Deployment:
+    """Three entries and some agents on one machine."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.authority = Authority(folder)
+        self.files = self.authority.issue("daemon")
+        self.members: list[Member] = []
+        self.stack = contextlib.ExitStack()
+        self.store = self.stack.enter_context(stores.start())
+        self.fabric = self.start(
+            "zinniahook_testkit.fabric",
+            json.dumps({"services": ["tally", "pulse"], "entries": list(HOSTS)}),
+        ).ready["services"]
+        asyncio.run(self.configure())
+
+    def start(self, module: str, *args: object) -> processes.Process:
+        process = self.stack.enter_context(processes.start(module, *args))
+        # A graceful shutdown of all of them, one by one, would take minutes.
+        self.stack.callback(process.kill)
+        return process
+
+    async def configure(self) -> None:
+        store = Store((Address.parse(self.store.address),), 5.0)
+        text = DOCUMENT.format(address=self.fabric["tally"], pulse=self.fabric["pulse"])
+        base = await read(store)
+        outcome = await commit(store, base, parse(text), "test", new_operation())
+        assert isinstance(outcome, Committed), outcome
+
+    def daemon(self, name: str, **sections: object) -> processes.Process:
+        settings = {
+            "name": name,
+            "data_centre": "thies-1",
+            "store": {"addresses": [self.store.address]},
+            "tunnel": {"address": "127.0.0.1:0"},
+            "control": {
+                "address": "127.0.0.1:0",
+                "certificate": str(self.files.certificate),
+                "key": str(self.files.key),
+                "authority": str(self.files.authority),
+            },
+            **sections,
+        }
+        file = self.folder / f"{name}.toml"
+        file.write_text(tomli_w.dumps(settings))
+        return self.start("zinniahook_daemon.main", "--settings", file)
+
+    def entry(self, number: int) -> processes.Process:
+        name = f"entry-{number}"
+        return self.daemon(name, role="entry", entry={"bind_host": HOSTS[number]})
+
+    def member(self, name: str, service: str = "tally", **behaviour: object) -> Member:
+        target = self.start(
+            "zinniahook_testkit.target",
+            json.dumps({"service": service, "name": name, "behaviour": behaviour}),
+        )
+        ready = target.ready
+        address = ready["udp"] if service == "pulse" else ready["target"]
+        agent = {
+            "service": service,
+            "target": address,
+            "slots": 4,
+            "certificate": str(self.files.certificate),
+            "key": str(self.files.key),
+        }
+        member = Member(target, self.daemon(name, role="agent", agent=agent))
+        self.members.append(member)
+        return member
+
+    def session(self) -> Session:
+        return Session(
+            self.fabric["tally"], ca=str(self.files.authority), server_name="localhost"
+        )
+
+    def total(self, name: str) -> int:
+        return sum(member.ledger()["counts"].get(name, 0) for member in self.members)
+
+
+@pytest.fixture
+def deployment(tmp_path: Path) -> Iterator[Deployment]:
+    deployment = Deployment(tmp_path)
+    with deployment.stack:
+        for number in range(3):
+            deployment.entry(number)
+        yield deployment
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Ask other processes until they agree; nothing here can wake us."""
+    async with asyncio.timeout(PATIENCE):
+        while not await asyncio.to_thread(condition):
+            await asyncio.sleep(0.05)
+
+
+class TestPath:
+    def test_whole_answers_by_way_of_any_entry(self, deployment: Deployment):
+        for number in range(3):
+            deployment.member(f"tally-{number}")
+
+        async def scenario() -> None:
+            async with deployment.session() as session:
+                answers = await asyncio.gather(
+                    *(
+                        session.post("/tickets", json={"ticket": f"t{number}"})
+                        for number in range(60)
+                    )
+                )
+                assert [answer.status for answer in answers] == [200] * 60
+                names = [answer.json()["ticket"] for answer in answers]
+                assert names == [f"t{number}" for number in range(60)]
+
+        asyncio.run(scenario())
+        runs = [member.ledger()["runs_by_ticket"] for member in deployment.members]
+        assert sum(len(each) for each in runs) == 60
+        assert all(count == 1 for each in runs for count in each.values())
+
+    def test_a_large_ledger_in_little_memory(self, deployment: Deployment):
+        """A caller pulls a ledger far larger than what an agent may hold.
+
+        Symptom: the agent grows with the ledger. Sequence: one export of
+        48 MB, the agent's peak read after it. Cause: a target writes faster
+        than a caller over QUIC reads.
+        """
+        member = deployment.member("tally-0")
+        before = member.agent.resident()
+
+        async def scenario() -> str:
+            digest = hashlib.sha256()
+            async with (
+                deployment.session() as session,
+                session.stream("GET", f"/ledger?size={LEDGER}", deadline=120) as answer,
+            ):
+                async for chunk in answer.iter_content():
+                    digest.update(chunk)
+            assert answer.headers["x-digest"] == digest.hexdigest()
+
+        asyncio.run(scenario())
+        assert member.agent.resident() - before < LEDGER // 3
+
+    def test_a_cancelled_feed_ends_at_the_target(self, deployment: Deployment):
+        member = deployment.member("tally-0")
+
+        async def scenario() -> None:
+            async with deployment.session() as session:
+                async with session.stream("GET", "/tally/feed?every=0.01") as answer:
+                    async for _ in answer.iter_lines():
+                        break
+                    assert member.ledger()["feeds"] == 1
+                await until(lambda: member.ledger()["feeds"] == 0)
+
+        asyncio.run(scenario())
+
+
+class TestDrain:
+    def test_cuts_nothing(self, deployment: Deployment):
+        """A target leaves in the middle of tickets, a feed and a ledger.
+
+        Symptom: a caller sees a broken answer, or a ticket runs twice.
+        Sequence: work on two agents, SIGTERM to one of them, more tickets.
+        Cause: the agent ends, or refuses what it has taken, too early.
+        """
+        members = [
+            deployment.member(f"tally-{number}", service_time=0.2)
+            for number in range(2)
+        ]
+
+        async def scenario() -> None:
+            async with deployment.session() as session:
+                tickets = []
+
+                async def file(number: int) -> None:
+                    body = {"ticket": f"t{number}"}
+                    answer = await session.post("/tickets", json=body, deadline=20)
+                    tickets.append(answer.status)
+
+                async def feed() -> int:
+                    path = "/tally/feed?every=0.05&count=40"
+                    async with session.stream("GET", path, deadline=20) as answer:
+                        return len([line async for line in answer.iter_lines()])
+
+                feeds = [asyncio.ensure_future(feed()) for _ in range(4)]
+                await until(lambda: deployment.total("started_feed") == 4)
+                filed = [asyncio.ensure_future(file(number)) for number in range(20)]
+                await until(lambda: deployment.total("started_tickets") > 0)
+                leaving = max(members, key=lambda each: each.ledger()["feeds"])
+                leaving.agent.ask_to_stop()
+                filed += [asyncio.ensure_future(file(20 + n)) for n in range(20)]
+                await asyncio.gather(*filed)
+                assert await asyncio.gather(*feeds) == [40] * 4
+                assert tickets == [200] * 40
+                status = await asyncio.to_thread(leaving.agent.wait, PATIENCE)
+                assert status == 0
+
+        asyncio.run(scenario())
+        assert deployment.total("finished_tickets") == 40
+        for member in members:
+            assert set(member.ledger()["runs_by_ticket"].values()) <= {1}
+
+
+class TestPlainUdp:
+    def test_a_flow_stays_at_its_target(self, deployment: Deployment):
+        for number in range(2):
+            deployment.member(f"pulse-{number}", "pulse")
+        host, _, port = deployment.fabric["pulse"].rpartition(":")
+
+        async def scenario() -> None:
+            loop = asyncio.get_running_loop()
+            answers: asyncio.Queue[bytes] = asyncio.Queue()
+
+            class Client(asyncio.DatagramProtocol):
+                def datagram_received(self, data: bytes, source: object) -> None:
+                    answers.put_nowait(data)
+
+            transport, _ = await loop.create_datagram_endpoint(
+                Client, remote_addr=(host, int(port))
+            )
+            names, number = set(), 0
+            async with asyncio.timeout(PATIENCE):
+                while number < 50:
+                    transport.sendto(b"beat")
+                    with contextlib.suppress(TimeoutError):
+                        answer = await asyncio.wait_for(answers.get(), 0.5)
+                        service, name, count, payload = answer.split()
+                        assert (service, payload) == (b"pulse", b"beat")
+                        names.add(name)
+                        number = int(count)
+            transport.close()
+            assert len(names) == 1
+
+        asyncio.run(scenario())
