Answer by another entry when answers get no acknowledgement

An agent answered by the entry that last delivered, though only the way in of it need work. Two unanswered probes in a row now switch the connection to another entry heard lately, and again with each further one. Run: 54 passed in test_connections, test_exchanges and test_targets. No measurement.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/connections.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/connections.py
@@ -193,6 +193,7 @@
         self.number = 0
         self.entry = Address("", 0)
         self.caller = Address("", 0)
+        self.is_switched = False
         self.session: Session | None = None
         self.wake_at: float | None = None
         self.opened_at = 0.0
@@ -322,6 +323,9 @@
         Makes the session of a new connection.
     closed : callable
         Told of each connection that has ended.
+    unanswered : callable
+        Told of a connection whose answers get no acknowledgement, each time
+        that one more probe went unanswered.
 
     One heap of timers serves all of them, and datagrams are built once a
     turn of the loop for the connections that were touched in it.
@@ -334,6 +338,7 @@
         send: Callable[[ServerConnection, bytes, Address], None],
         begin: Callable[[ServerConnection], Session],
         closed: Callable[[ServerConnection], None],
+        unanswered: Callable[[ServerConnection], None],
     ) -> None:
         self.configuration = configuration
         self.by_id: dict[bytes, ServerConnection] = {}
@@ -343,6 +348,7 @@
         self._send = send
         self._begin = begin
         self._closed = closed
+        self._unanswered = unanswered
         self._loop = asyncio.get_running_loop()
         self._numbers = itertools.count(1)
         self._handshaking: dict[int, ServerConnection] = {}
@@ -387,7 +393,8 @@
         if payload[0] & 0x80 and not connection.handshaking:
             return
         now = self._loop.time()
-        connection.entry = entry
+        if not connection.is_switched:
+            connection.entry = entry
         connection.caller = caller
         connection.heard_at = now
         try:
@@ -506,6 +513,14 @@
             self._timer.cancel()
         self._timer = self._loop.call_at(at, self._wake)
 
+    def _time_out(self, connection: ServerConnection, now: float) -> None:
+        before = connection.probes
+        connection.handle_timer(now)
+        # One lost packet costs one probe; two in a row are no accident.
+        if connection.probes > max(before, 1) and not connection.handshaking:
+            self._unanswered(connection)
+        self.touch(connection)
+
     def _wake(self) -> None:
         self._timer = None
         now = self._loop.time()
@@ -517,8 +532,7 @@
                 continue
             connection.wake_at = None
             if connection.get_timer() <= now:
-                connection.handle_timer(now)
-                self.touch(connection)
+                self._time_out(connection, now)
             else:
                 self._schedule(connection)
         self._arm()
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
@@ -16,6 +16,7 @@
 from zinniahook_core.codes import Code
 from zinniahook_core.events import FlowDatagram, FlowOpening, PeerDatagram
 from zinniahook_core.models import Address, Configuration, Protocol
+from zinniahook_core.paths import Paths
 from zinniahook_core.routing import (
     CONNECTION_ID_LENGTH,
     ConnectionIds,
@@ -66,6 +67,7 @@
         self.node = agent.node
         settings = agent.node.settings.agent
         self._ids: ConnectionIds | None = None
+        self._paths = Paths(agent.rng)
         self._restarting = False
         self._opening: TunnelDatagram | None = None
         self.flows = UdpFlows(settings.target, self._answer_flow)
@@ -75,6 +77,7 @@
             self._send,
             self._begin,
             self._closed,
+            self._switch,
         )
         agent.node.on_tunnel(self._receive)
 
@@ -148,7 +151,20 @@
     def _begin(self, connection: ServerConnection) -> Http3Session:
         return Http3Session(connection, self.agent, self.connections.touch)
 
+    def _switch(self, connection: ServerConnection) -> None:
+        """Answer by way of another entry: this one's answers get lost."""
+        now = self.node.now()
+        if not connection.is_switched:
+            connection.is_switched = True
+            self._paths.heard(now, connection.entry, connection.flow)
+        entry = self._paths.unanswered(now, connection.flow)
+        if entry is not None and entry != connection.entry:
+            connection.entry = entry
+            self.node.count("agent.switched")
+
     def _closed(self, connection: ServerConnection) -> None:
+        if connection.is_switched:
+            self._paths.forget(connection.flow)
         if not self._restarting:
             self.agent.closed(connection.flow)
 
@@ -201,6 +217,7 @@
         is_long, connection_id = destination
         connection = self.connections.by_id.get(connection_id)
         if connection is not None:
+            self._note_path(connection, datagram.entry)
             self.connections.receive(
                 connection, datagram.payload, datagram.caller, datagram.entry
             )
@@ -209,6 +226,15 @@
         else:
             self._drop(Code.CONNECTION_ID_UNKNOWN)
 
+    def _note_path(self, connection: ServerConnection, entry: Address) -> None:
+        # Only a flow that had to switch needs a memory of its own.
+        if not connection.is_switched:
+            self._paths.heard(self.node.now(), entry)
+            return
+        now = self.node.now()
+        self._paths.heard(now, entry, connection.flow)
+        connection.entry = self._paths.for_flow(now, connection.flow) or entry
+
     def _may_open(self, datagram: TunnelDatagram) -> bool:
         """Tell whether a datagram without a connection is an opening."""
         payload = datagram.payload
--- a/packages/zinniahook-daemon/tests/test_connections.py
+++ b/packages/zinniahook-daemon/tests/test_connections.py
@@ -22,6 +22,7 @@
     ServerConnection,
     make_configuration,
 )
+from zinniahook_testkit.certificates import Authority
 
 PATIENCE = 20.0
 ENTRY = Address("127.0.1.1", 4433)
@@ -88,6 +89,7 @@
         self.destinations: set[bytes] = set()
         self.silent = False
         self.closed: list[ServerConnection] = []
+        self.unanswered: list[ServerConnection] = []
         self._moved = asyncio.Event()
         self.connections = Connections(
             configuration,
@@ -95,6 +97,7 @@
             self.to_caller,
             lambda connection: Recorder(),
             self.closed.append,
+            self.unanswered.append,
         )
 
     def now(self) -> float:
@@ -150,8 +153,9 @@
 
 
 @pytest.fixture
-def configuration(authority) -> QuicConfiguration:
-    return make_configuration(*authority.issue("service"))
+def configuration(tmp_path) -> QuicConfiguration:
+    files = Authority(tmp_path).issue("service")
+    return make_configuration(files.certificate, files.key)
 
 
 def run(configuration: QuicConfiguration, scenario) -> None:
@@ -251,6 +255,27 @@
         run(configuration, scenario)
 
 
+class TestSilence:
+    def test_unanswered_probes_are_told(self, configuration):
+        """Answers by way of one entry get lost.
+
+        Symptom: a caller waits though its own datagrams arrive. Sequence: an
+        established connection sends, no acknowledgement comes back.
+        Cause: only the agent can know that its answers get nowhere; each
+        further probe has to give it a reason to try another entry.
+        """
+
+        async def scenario(link: Link) -> None:
+            _, connection = await link.connect()
+            link.silent = True
+            connection.send_ping(5)
+            link.connections.touch(connection)
+            await link.until(lambda: len(link.unanswered) >= 2)
+            assert set(link.unanswered) == {connection}
+
+        run(configuration, scenario)
+
+
 class TestStreamWindow:
     def test_a_stream_that_nobody_reads_stops(self, configuration):
         """A caller sends a body faster than the target takes it.
--- a/packages/zinniahook-daemon/tests/test_exchanges.py
+++ b/packages/zinniahook-daemon/tests/test_exchanges.py
@@ -31,6 +31,7 @@
 from zinniahook_daemon.http3 import HIGH_WATER, Http3Session
 from zinniahook_daemon.sockets import UdpSocket
 from zinniahook_daemon.targets import Result, Target
+from zinniahook_testkit.certificates import Authority
 
 PATIENCE = 20.0
 LARGE = 24 * 1024 * 1024
@@ -173,6 +174,7 @@
                 connection, self.owner, self.connections.touch
             ),
             lambda connection: None,
+            lambda connection: None,
         )
 
     def receive(self, datagram: bytes, source: tuple) -> None:
@@ -199,8 +201,9 @@
 
 
 @pytest.fixture
-def run(authority):
-    configuration = make_configuration(*authority.issue("service"))
+def run(tmp_path):
+    files = Authority(tmp_path).issue("service")
+    configuration = make_configuration(files.certificate, files.key)
 
     def run(scenario) -> None:
         async def main() -> None:
