--- /dev/null
+++ b/tests/test_entry_path.py
@@ -0,0 +1,200 @@
+"""Entries as real processes: killed, stopped, restarted and reconfigured."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import urllib.request
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from zinniahook_core.models import Address, Protocol, Service
+from zinniahook_testkit.checks import Evidence, check
+from zinniahook_testkit.clusters import Cluster
+from zinniahook_testkit.deployments import DEPLOYMENTS_BY_NAME, Deployment
+from zinniahook_testkit.load import LoadResult
+
+TALLY = (
+    DEPLOYMENTS_BY_NAME["thies"]
+    .services_by_name["tally"]
+    ._replace(
+        targets=3,
+        loads=(
+            {"kind": "feeds", "path": "/tally/feed", "callers": 6, "every": 0.1},
+            {"kind": "tickets", "path": "/tickets", "callers": 4, "rate": 20.0},
+        ),
+        behaviour={"service_time": 0.02},
+    )
+)
+DEPLOYMENT = Deployment("small", ("thies-1", "thies-2"), 3, 0.0, (TALLY,))
+
+
+class LearningCluster(Cluster):
+    """A cluster whose later daemons may learn from earlier ones."""
+
+    def _settings(self, name: str, role: str) -> dict[str, Any]:
+        settings = super()._settings(name, role)
+        settings["control"]["parents"] = [
+            process.ready["control"] for process in self.entries_by_name.values()
+        ]
+        return settings
+
+    async def store_faults(self, **faults: Any) -> None:
+        """Change how the store misbehaves."""
+        admin = self.store_process.ready["admin"]
+        request = urllib.request.Request(
+            f"http://{admin}/faults", json.dumps(faults).encode()
+        )
+        await asyncio.to_thread(lambda: urllib.request.urlopen(request).close())
+
+
+def under_load(
+    folder: Path, act: Callable[[LearningCluster], Awaitable[None]]
+) -> list[LoadResult]:
+    """Run a cluster, act while callers are at work, check the invariants."""
+
+    async def run() -> list[LoadResult]:
+        async with LearningCluster(DEPLOYMENT, folder) as cluster:
+            load = await cluster.run_loads(["tally"])
+            await flows_open(cluster)
+            await act(cluster)
+            results = await load.finish()
+            ledgers = tuple(await cluster.ledgers())
+            assert check(Evidence(ledgers, tuple(results))) == []
+            return results
+
+    return asyncio.run(run())
+
+
+def not_broken(results: list[LoadResult]) -> None:
+    """Hold that no flow was cut and each caller got its answer."""
+    for result in results:
+        counts = result["counts"]
+        assert counts["cut_attempts"] == 0, result["path"]
+        assert counts["flows_moved"] == 0, result["path"]
+        assert counts["done"] == len(result["records"]) > 0
+
+
+async def flows_open(cluster: Cluster) -> None:
+    """Wait until the targets have run some tickets."""
+
+    async def running() -> bool:
+        return sum(len(one["runs_by_ticket"]) for one in await cluster.ledgers()) >= 5
+
+    await cluster.until(running, "callers at work")
+
+
+class TestEntryDies:
+    def test_kill_breaks_no_flow(self, tmp_path):
+        """Symptom: feeds break and tickets fail as an entry dies.
+
+        Sequence: two of three entries are killed under load, one after the
+        other; the fabric goes on sending to each for a while; one returns.
+        Cause: an entry would hold something of a flow that no other has.
+        """
+
+        async def act(cluster: LearningCluster) -> None:
+            await cluster.kill_entry("entry-1")
+            await cluster.kill_entry("entry-2")
+            await cluster.start_entry("entry-1")
+            await cluster.kill_entry("entry-3")
+
+        not_broken(under_load(tmp_path, act))
+
+
+class TestEntryStops:
+    def test_sigterm_breaks_no_flow(self, tmp_path):
+        """Symptom: a planned stop of an entry costs callers their answers.
+
+        Sequence: every entry is stopped and started again under load.
+        Cause: datagrams on their way to a stopping entry would be lost.
+        """
+
+        async def act(cluster: LearningCluster) -> None:
+            for name in ("entry-1", "entry-2", "entry-3"):
+                assert await cluster.stop_entry(name) == 0
+                await cluster.start_entry(name)
+
+        not_broken(under_load(tmp_path, act))
+
+
+class TestStoreDown:
+    def test_a_new_entry_learns_from_another(self, tmp_path):
+        """Symptom: during an outage of the store no entry can be replaced.
+
+        Sequence: the store goes down under load, an entry is killed, another
+        one starts and must serve; the store comes back and a change is made.
+        Cause: the new entry would wait for the store.
+        """
+
+        async def act(cluster: LearningCluster) -> None:
+            await cluster.store_faults(outage="refuse")
+            await cluster.kill_entry("entry-1")
+            process = await cluster.start_entry("entry-1")
+            status = await cluster.status(process)
+            assert status.generation == 1
+            assert "tally" in status.revisions_by_service
+            await cluster.kill_entry("entry-2")
+            await cluster.store_faults(outage="")
+            generation = await cluster.change(lambda document: document)
+            await cluster.wait_for_generation(generation)
+
+        not_broken(under_load(tmp_path, act))
+
+
+class TestConfigurationChanges:
+    def test_a_silent_watch_is_noticed(self, tmp_path):
+        """Symptom: an accepted change is in force on no daemon.
+
+        Sequence: every open watch goes silent for good, then a change is
+        made. Cause: a connection lost track of looks like a quiet store.
+        """
+
+        async def act(cluster: LearningCluster) -> None:
+            await cluster.store_faults(silent=True)
+            generation = await cluster.change(lambda document: document)
+            await cluster.wait_for_generation(generation)
+
+        not_broken(under_load(tmp_path, act))
+
+    def test_services_come_and_go(self, tmp_path):
+        async def act(cluster: LearningCluster) -> None:
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+                probe.bind(("127.0.0.1", 0))
+                port = probe.getsockname()[1]
+            extra = Service("extra", 9, Address("127.0.0.1", port), Protocol.UDP)
+            generation = await cluster.change(
+                lambda document: document._replace(
+                    services_by_name={**document.services_by_name, "extra": extra}
+                )
+            )
+            await cluster.wait_for_generation(generation)
+            await is_bound(cluster, port, True)
+            generation = await cluster.change(
+                lambda document: document._replace(
+                    services_by_name={
+                        name: service
+                        for name, service in document.services_by_name.items()
+                        if name != "extra"
+                    },
+                    retired_by_name={"extra": 9},
+                )
+            )
+            await cluster.wait_for_generation(generation)
+            await is_bound(cluster, port, False)
+
+        not_broken(under_load(tmp_path, act))
+
+
+async def is_bound(cluster: Cluster, port: int, expected: bool) -> None:
+    """Check whether the entries hold a port on their own addresses."""
+    for number in range(1, DEPLOYMENT.entries + 1):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            try:
+                probe.bind((f"127.0.1.{number}", port))
+                bound = False
+            except OSError:
+                bound = True
+        assert bound is expected
