Test the whole path with real processes

Tickets, feeds and exports by way of fabric, entry, agent and target; copies of one ticket; a shed ticket; aioquic's plain client; a datagram of another service; a silenced port; an agent killed while tickets run. The target stand-in serves UDP on its HTTP port, as an agent of a udp service asks for health there and never became ready otherwise.

--- a/packages/zinniahook-caller/src/zinniahook_caller/connections.py
+++ b/packages/zinniahook-caller/src/zinniahook_caller/connections.py
@@ -214,6 +214,12 @@
         """Whether answers are due."""
         return bool(self._exchanges_by_stream)
 
+    @property
+    def local_port(self) -> int:
+        """The local UDP port, 0 if there is none."""
+        name = self._transport and self._transport.get_extra_info("sockname")
+        return name[1] if name else 0
+
     async def open(self, remote: tuple[str, int]) -> None:
         """Connect.
 
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/target.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/target.py
@@ -5,8 +5,8 @@
 what really ran. The stand-in counts for itself, so that its ledger can
 convict the system in front of it.
 
-When ready it prints
-``{"ready": {"target": ..., "admin": ..., "udp": ...}}``.
+When ready it prints ``{"ready": {"target": ..., "admin": ..., "udp": ...}}``.
+UDP is served on the same port as HTTP, so that health is asked there too.
 """
 
 from __future__ import annotations
@@ -453,7 +453,7 @@
     ).add_sockets(admin)
     loop = asyncio.get_running_loop()
     udp, _ = await loop.create_datagram_endpoint(
-        lambda: UdpCounter(target), ("127.0.0.1", 0)
+        lambda: UdpCounter(target), public[0].getsockname()[:2]
     )
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,58 @@
+"""A small deployment of real processes, shared by the tests of a module."""
+
+import asyncio
+
+import pytest
+from zinniahook_testkit.clusters import Cluster
+from zinniahook_testkit.deployments import LEDGER, TALLY, Deployment, ServicePlan
+
+PULSE = ServicePlan(
+    name="pulse",
+    number=3,
+    targets=2,
+    slots=4,
+    loads=({"kind": "flows", "callers": 12, "every": 0.1},),
+    protocol="udp",
+)
+
+SMALL = Deployment(
+    name="small",
+    data_centres=("small-1", "small-2"),
+    entries=3,
+    latency=0.001,
+    services=(TALLY._replace(targets=3), LEDGER._replace(targets=2), PULSE),
+)
+
+
+class Deployed:
+    """A running cluster and the loop that it lives on."""
+
+    def __init__(self, runner, cluster):
+        self.cluster = cluster
+        self._runner = runner
+
+    def run(self, coroutine, seconds=90):
+        """Run a coroutine of a test to its end."""
+        return self._runner.run(asyncio.wait_for(coroutine, seconds))
+
+
+@pytest.fixture(scope="module")
+def deployed(tmp_path_factory):
+    """Start the small deployment for a module."""
+    yield from _deploy(tmp_path_factory)
+
+
+@pytest.fixture
+def fresh(tmp_path_factory):
+    """Start the small deployment for a test that leaves it damaged."""
+    yield from _deploy(tmp_path_factory)
+
+
+def _deploy(tmp_path_factory):
+    with asyncio.Runner() as runner:
+        cluster = Cluster(SMALL, tmp_path_factory.mktemp("cluster"))
+        runner.run(cluster.__aenter__())
+        try:
+            yield Deployed(runner, cluster)
+        finally:
+            runner.run(cluster.stop())
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,298 @@
+"""The whole path with real processes, as callers and targets see it."""
+
+import asyncio
+import hashlib
+import json
+
+import pytest
+from aioquic.asyncio import QuicConnectionProtocol, connect
+from aioquic.h3.connection import H3_ALPN, H3Connection
+from aioquic.h3.events import DataReceived, HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from zinniahook_caller import Backoff, NotRunError, Session, UnknownOutcomeError
+from zinniahook_core.codes import Code
+from zinniahook_testkit.target import export_digest
+
+MEGABYTE = 1 << 20
+
+
+def session(cluster, service, **kwargs):
+    address = cluster.addresses_by_service[service]
+    return Session(address, ca=str(cluster.authority.file), **kwargs)
+
+
+async def work_started(cluster, service):
+    """Return how often any target of a service has started any work."""
+    return sum(
+        count
+        for ledger in await cluster.ledgers()
+        if ledger["service"] == service
+        for name, count in ledger["counts"].items()
+        if name.startswith("started_")
+    )
+
+
+async def runs_of(cluster, ticket):
+    return sum(
+        ledger["runs_by_ticket"].get(ticket, 0) for ledger in await cluster.ledgers()
+    )
+
+
+class PlainClient(QuicConnectionProtocol):
+    """An ordinary HTTP/3 client; it knows nothing of zinniahook."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.http = H3Connection(self._quic)
+        self.answers_by_stream = {}
+        self.ended_by_stream = {}
+        self.status_by_stream = {}
+
+    def quic_event_received(self, event):
+        for item in self.http.handle_event(event):
+            if isinstance(item, HeadersReceived):
+                status = dict(item.headers).get(b":status")
+                self.status_by_stream.setdefault(item.stream_id, status)
+            if isinstance(item, DataReceived):
+                self.answers_by_stream[item.stream_id] += item.data
+            if item.stream_ended:
+                self.ended_by_stream[item.stream_id].set()
+
+    async def request(self, method, path, body=b""):
+        stream = self._quic.get_next_available_stream_id()
+        self.answers_by_stream[stream] = b""
+        self.ended_by_stream[stream] = asyncio.Event()
+        headers = [
+            (b":method", method),
+            (b":scheme", b"https"),
+            (b":authority", b"service"),
+            (b":path", path),
+        ]
+        self.http.send_headers(stream, headers, end_stream=not body)
+        if body:
+            self.http.send_data(stream, body, end_stream=True)
+        self.transmit()
+        await self.ended_by_stream[stream].wait()
+        return self.status_by_stream[stream], self.answers_by_stream[stream]
+
+
+def plain_client(cluster, service, create=PlainClient):
+    host, _, port = cluster.addresses_by_service[service].rpartition(":")
+    configuration = QuicConfiguration(is_client=True, alpn_protocols=H3_ALPN)
+    configuration.load_verify_locations(cafile=str(cluster.authority.file))
+    return connect(host, int(port), configuration=configuration, create_protocol=create)
+
+
+class TestRequests:
+    def test_ticket_feed_and_ledger(self, deployed):
+        async def check(cluster):
+            async with session(cluster, "tally") as caller:
+                answer = await caller.post("/tickets", json={"ticket": "first"})
+                assert answer.json()["ticket"] == "first"
+                assert answer.json()["service"] == "tally"
+                path = "/tally/feed?every=0.01&count=5"
+                async with caller.stream("GET", path) as feed:
+                    lines = [json.loads(line) async for line in feed.iter_lines()]
+                assert [line["n"] for line in lines] == [1, 2, 3, 4, 5]
+            async with session(cluster, "ledger") as caller:
+                answer = await caller.get(f"/ledger?size={MEGABYTE}")
+                digest = hashlib.sha256(answer.content).hexdigest()
+                assert digest == export_digest("ledger", MEGABYTE)
+            assert await runs_of(cluster, "first") == 1
+
+        deployed.run(check(deployed.cluster))
+
+    def test_copies_of_one_ticket_run_once(self, deployed):
+        """A doubled ticket bills a haulier twice.
+
+        Symptom: the same load is billed twice.
+        Sequence: a device sends a ticket, hears nothing, and sends it again
+        under the same key over another connection while the first still runs.
+        Cause: two targets each took the copy that reached them for a new one.
+        """
+
+        async def check(cluster):
+            callers = [session(cluster, "tally") for _ in range(6)]
+            copies = [
+                caller.post("/tickets", json={"ticket": "copied"}, key="copied")
+                for caller in callers
+            ]
+            answers = await asyncio.gather(*copies)
+            assert {answer.content for answer in answers} == {answers[0].content}
+            for caller in callers:
+                await caller.close()
+            assert await runs_of(cluster, "copied") == 1
+
+        deployed.run(check(deployed.cluster))
+
+    def test_shed_ticket_is_told_as_not_run(self, deployed):
+        """A ticket that was told as not run bills a haulier after all.
+
+        Symptom: a clerk enters a refused ticket on paper; it is billed twice.
+        Sequence: every target sheds; the caller gives up at its deadline.
+        Cause: a copy still ran after the last refusal.
+        """
+
+        async def check(cluster):
+            tallies = [name for name in cluster.targets_by_name if "tally" in name]
+            for name in tallies:
+                await cluster.control_target(name, shed_share=1.0)
+            async with session(cluster, "tally") as caller:
+                with pytest.raises(NotRunError):
+                    await caller.post("/tickets", json={"ticket": "shed"}, deadline=1.5)
+            for name in tallies:
+                await cluster.control_target(name, shed_share=0.0)
+            assert await runs_of(cluster, "shed") == 0
+
+        deployed.run(check(deployed.cluster))
+
+
+class TestPlainClient:
+    def test_ordinary_client_is_served(self, deployed):
+        async def check(cluster):
+            async with plain_client(cluster, "ledger") as client:
+                status, body = await client.request(b"GET", b"/ledger?size=300000")
+                assert status == b"200"
+                digest = hashlib.sha256(body).hexdigest()
+                assert digest == export_digest("ledger", 300_000)
+            async with plain_client(cluster, "tally") as client:
+                sent = json.dumps({"ticket": "plain"}).encode()
+                status, body = await client.request(b"POST", b"/tickets", sent)
+                assert status == b"200"
+                assert json.loads(body)["ticket"] == "plain"
+            assert await runs_of(cluster, "plain") == 1
+
+        deployed.run(check(deployed.cluster))
+
+
+class TestServices:
+    def test_packet_of_another_service_is_dropped(self, deployed):
+        """A tally packet reaches the ledger service.
+
+        Symptom: a target serves what is not its own.
+        Sequence: datagrams of an established tally connection arrive at the
+        ledger's address.
+        Cause: the entry routed by connection id alone.
+        """
+        sent = []
+
+        class Recording(PlainClient):
+            def connection_made(self, transport):
+                super().connection_made(transport)
+                send = transport.sendto
+
+                def record(data, address):
+                    sent.append(data)
+                    send(data, address)
+
+                transport.sendto = record
+
+        async def drops(cluster):
+            replies = [
+                await cluster.status(e) for e in cluster.entries_by_name.values()
+            ]
+            return sum(reply.drops_by_code[Code.SERVICE_MISMATCH] for reply in replies)
+
+        async def check(cluster):
+            ledger = cluster.addresses_by_service["ledger"].rpartition(":")
+            work, before = await work_started(cluster, "ledger"), await drops(cluster)
+            async with plain_client(cluster, "tally", Recording) as client:
+                await client.request(b"GET", b"/tally/feed?every=0.01&count=3")
+                short = [data for data in sent if not data[0] & 0x80]
+                transport = client._transport
+                for data in short:
+                    transport.sendto(
+                        data, ("::ffff:" + ledger[0], int(ledger[2]), 0, 0)
+                    )
+
+                async def dropped():
+                    return await drops(cluster) >= before + len(short)
+
+                await cluster.until(dropped, "all foreign datagrams dropped")
+                status, _ = await client.request(b"GET", b"/tally/feed?count=1")
+                assert status == b"200"
+            assert await work_started(cluster, "ledger") == work
+
+        deployed.run(check(deployed.cluster))
+
+
+class TestSilence:
+    def test_feed_goes_on_from_a_new_port(self, deployed):
+        """An open feed goes silent for good while new ones work.
+
+        Symptom: a foreman's screen stands still; nothing reports an error.
+        Sequence: the path loses track of one caller's port, in both
+        directions.
+        Cause: nobody looked for silence, or the flow's owner was found by
+        the caller's address.
+        """
+
+        async def check(cluster):
+            async with (
+                session(cluster, "tally") as caller,
+                caller.stream("GET", "/tally/feed?every=0.05") as feed,
+            ):
+                lines = feed.iter_lines()
+                numbers = [json.loads(await anext(lines))["n"] for _ in range(3)]
+                port = caller.adapter.connection.local_port
+                body = {"caller": f"127.0.0.1:{port}"}
+                answer = await cluster.control_fabric("silence", body)
+                assert answer["silenced"] == [body["caller"]]
+                while caller.adapter.moves == 0:
+                    numbers.append(json.loads(await anext(lines))["n"])
+                for _ in range(20):
+                    numbers.append(json.loads(await anext(lines))["n"])
+                assert numbers == list(range(1, len(numbers) + 1))
+                assert caller.adapter.opened == 1
+
+        deployed.run(check(deployed.cluster))
+
+
+class TestCrashes:
+    def test_killed_agent_never_doubles_a_ticket(self, fresh):
+        """A crash between start and answer doubles or loses a ticket.
+
+        Symptom: a ticket is billed twice, or told as not run though it ran.
+        Sequence: the agent that runs a ticket dies; the caller goes on with
+        the same key at another agent.
+        Cause: the survivors know nothing of the claim and run it again, or
+        refuse it as not run.
+        """
+
+        async def file(caller, ticket):
+            body = {"ticket": ticket}
+            try:
+                await caller.post("/tickets", json=body, key=ticket, deadline=15)
+            except NotRunError:
+                return ticket, "not run"
+            except UnknownOutcomeError:
+                return ticket, "unknown"
+            return ticket, "done"
+
+        async def check(cluster):
+            for name in cluster.targets_by_name:
+                await cluster.control_target(name, service_time=1.5)
+            quick = Backoff(0.02, 0.2)
+            callers = [session(cluster, "tally", backoff=quick) for _ in range(8)]
+            filing = [
+                asyncio.create_task(file(caller, f"crash-{number}-{copy}"))
+                for number, caller in enumerate(callers)
+                for copy in range(2)
+            ]
+
+            async def busy():
+                ledger = await cluster.ledger("tally-1")
+                return ledger["counts"].get("started_tickets", 0) >= 2
+
+            await cluster.until(busy, "tickets in progress")
+            await asyncio.to_thread(cluster.agents_by_name.pop("tally-1").kill)
+            outcomes = await asyncio.gather(*filing)
+            for ticket, outcome in outcomes:
+                runs = await runs_of(cluster, ticket)
+                assert runs <= 1, (ticket, outcome)
+                assert runs == 1 or outcome != "done", ticket
+                assert runs == 0 or outcome != "not run", ticket
+            for caller in callers:
+                await caller.close()
+
+        fresh.run(check(fresh.cluster))
