--- a/packages/zinniahook-store/src/zinniahook_store/client.py
+++ b/packages/zinniahook-store/src/zinniahook_store/client.py
@@ -9,7 +9,7 @@
 
 from zinniahook_core.codes import Code, Failure
 
-from .gateway import Gateway, GatewayError, encode_key, prefix_end
+from .gateway import WRONG_SHAPE, Gateway, GatewayError, encode_key, prefix_end
 from .outcomes import (
     AnswerLost,
     Conflict,
@@ -382,9 +382,12 @@
             if error.sent:
                 return AnswerLost(Failure(Code.STORE_ANSWER_LOST, str(error)))
             return NotWritten(Failure(Code.STORE_DOWN, str(error)))
-        if revisions_by_key is not None and not answer.get("succeeded"):
-            return Conflict(_differing(answer, revisions_by_key))
-        return Written(_revision(answer))
+        try:
+            if revisions_by_key is not None and not answer.get("succeeded"):
+                return Conflict(_differing(answer, revisions_by_key))
+            return Written(_revision(answer))
+        except StoreError as error:
+            return AnswerLost(Failure(Code.STORE_ANSWER_LOST, str(error)))
 
 
 def _differing(
@@ -424,13 +427,19 @@
 
 
 def _items(answer: dict[str, Any]) -> Iterator[Item]:
-    for value in answer.get("kvs", ()):
-        yield Item(
-            base64.b64decode(value["key"]).decode(),
-            base64.b64decode(value.get("value", "")),
-            int(value["mod_revision"]),
-        )
+    try:
+        for value in answer.get("kvs", ()):
+            yield Item(
+                base64.b64decode(value["key"]).decode(),
+                base64.b64decode(value.get("value", "")),
+                int(value["mod_revision"]),
+            )
+    except WRONG_SHAPE:
+        raise StoreError("the store's answer has the wrong shape") from None
 
 
 def _revision(answer: dict[str, Any]) -> int:
-    return int(answer["header"]["revision"])
+    try:
+        return int(answer["header"]["revision"])
+    except WRONG_SHAPE:
+        raise StoreError("the store's answer has no revision") from None
--- a/packages/zinniahook-store/src/zinniahook_store/gateway.py
+++ b/packages/zinniahook-store/src/zinniahook_store/gateway.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "CONNECT_TIMEOUT",
+    "WRONG_SHAPE",
     "Gateway",
     "GatewayError",
     "Stream",
@@ -38,6 +39,9 @@
 SERVER_ERROR = 500
 COMPACTED_TEXT = "compacted"
 
+WRONG_SHAPE = (AttributeError, KeyError, TypeError, ValueError)
+"""What reading an answer of the wrong shape raises."""
+
 _FETCH_ERRORS = (OSError, HTTPError, HTTPInputError)
 
 
@@ -113,9 +117,11 @@
                 self.failures_by_kind[kind] += 1
                 failure = error
                 sent = sent or error.sent
-                if error.compacted or (error.sent and not repeat):
+                if error.compacted:
                     break
                 self.advance()
+                if error.sent and not repeat:
+                    break
         raise GatewayError(str(failure), sent=sent, compacted=failure.compacted)
 
     def open(self, kind: str, path: str, body: dict[str, Any]) -> Stream:
--- a/packages/zinniahook-store/src/zinniahook_store/watches.py
+++ b/packages/zinniahook-store/src/zinniahook_store/watches.py
@@ -15,7 +15,14 @@
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING, Any
 
-from .gateway import Gateway, GatewayError, Stream, encode_key, prefix_end
+from .gateway import (
+    WRONG_SHAPE,
+    Gateway,
+    GatewayError,
+    Stream,
+    encode_key,
+    prefix_end,
+)
 from .outcomes import Change, StoreError
 
 if TYPE_CHECKING:
@@ -105,17 +112,17 @@
             message = await self._next_message(stream)
             if message is None:
                 return
-            result = message.get("result")
-            if result is None:
-                return
-            self.heard = time.monotonic()
-            if result.get("canceled"):
-                # Also when the revision was compacted away: only reading
-                # tells what is stored now.
+            try:
+                changes = self._report(message["result"])
+            except WRONG_SHAPE:
+                # An error, or nothing that this client understands.
                 self._behind = True
                 return
-            for change in self._report(result):
+            self.heard = time.monotonic()
+            for change in changes:
                 yield change
+            if self._behind:
+                return
 
     async def _next_message(self, stream: Stream) -> dict[str, Any] | None:
         """Return the next message, None if the stream is of no more use."""
@@ -143,7 +150,9 @@
         return newest > self.revision or count != len(self._revisions_by_key)
 
     def _report(self, result: dict[str, Any]) -> list[Change]:
-        self._behind = False
+        # Canceled also means that the revision was compacted away: only
+        # reading tells what is stored now.
+        self._behind = bool(result.get("canceled"))
         events = result.get("events", ())
         changes = [_change(event) for event in events]
         for change in changes:
