wire: build tunnel datagrams without the checks of a named tuple

Cause: a quarter microsecond and more of each decoded datagram went into the named tuple's constructor; the test of documents still used the old field of retired services. Change: decoding builds the tuple directly; the test names the new field.

--- a/packages/zinniahook-wire/src/zinniahook_wire/tunnels.py
+++ b/packages/zinniahook-wire/src/zinniahook_wire/tunnels.py
@@ -86,6 +86,9 @@
 
 _KINDS_BY_NUMBER = {int(kind): kind for kind in TunnelKind}
 
+# What TunnelDatagram._make does, without its 0.4 us of checks per datagram.
+_make_datagram = functools.partial(tuple.__new__, TunnelDatagram)
+
 
 @functools.lru_cache(ADDRESS_CACHE_SIZE)
 def _pack_address(address: tuple[str, int]) -> bytes:
@@ -191,13 +194,15 @@
         kind = _KINDS_BY_NUMBER.get(number)
         if kind is None or flags & ~_HANDED != _VERSION:
             return Code.TUNNEL_MALFORMED
-        return TunnelDatagram(
-            kind,
-            service,
-            generation,
-            hops,
-            flags != _VERSION,
-            _unpack_address(caller),
-            _unpack_address(entry),
-            payload,
+        return _make_datagram(
+            (
+                kind,
+                service,
+                generation,
+                hops,
+                flags != _VERSION,
+                _unpack_address(caller),
+                _unpack_address(entry),
+                payload,
+            )
         )
--- a/packages/zinniahook-wire/tests/test_documents.py
+++ b/packages/zinniahook-wire/tests/test_documents.py
@@ -34,7 +34,8 @@
 def document(count, **changes):
     services = {item.name: item for item in map(service, range(1, count + 1))}
     operators = {"amina": Operator("amina", ("customer-*",), keys=True)}
-    return Document(services, operators, retired=(9000,))._replace(**changes)
+    made = Document(services, operators, retired_by_name={"gone": 9000})
+    return made._replace(**changes)
 
 
 def split(content, generation=42):
