store: take no broken answer for an empty or a certain one

Cause: an answer without a header read as "nothing is stored", as a conflict, or as a lapsed lease; a page of 500 rosters kept the loop busy for 13 ms. Change: every answer must carry what the store always sends; else it is a StoreError or a lost answer. Pages hold 200 values.

--- a/packages/zinniahook-store/src/zinniahook_store/client.py
+++ b/packages/zinniahook-store/src/zinniahook_store/client.py
@@ -27,8 +27,12 @@
 TIMEOUT = 2.0
 """Seconds that a call waits for its answer."""
 
-PAGE_SIZE = 500
-"""Values read by one call of a range."""
+PAGE_SIZE = 200
+"""Values read by one call of a range.
+
+Decoding a page keeps the loop from its packets meanwhile: for rosters of 2 KB
+about 5 ms, with 500 values 13 ms.
+"""
 
 BATCH_SIZE = 100
 BATCH_BYTES = 1_000_000
@@ -79,7 +83,7 @@
             If the store gives no answer.
         """
         answer = await self._read({"key": encode_key(key)})
-        return next(iter(_items(answer)), None)
+        return next(_items(answer), None)
 
     async def get_many(self, keys: Iterable[str]) -> dict[str, Item]:
         """Return what is stored under the keys, in few calls.
@@ -94,9 +98,8 @@
         for start in range(0, len(names), BATCH_SIZE):
             reads = [_read_of(key) for key in names[start : start + BATCH_SIZE]]
             answer = await self._call_to_read("range", "/v3/kv/txn", {"success": reads})
-            for response in answer.get("responses", ()):
-                for item in _items(response["response_range"]):
-                    found[item.key] = item
+            for response in _responses(answer, len(reads)):
+                found.update((item.key, item) for item in _items(response))
         return found
 
     async def range(self, prefix: str) -> list[Item]:
@@ -137,7 +140,7 @@
         while True:
             answer = await self._read({**body, "key": encode_key(key)})
             if count is None:
-                count = int(answer.get("count", 0))
+                count = _integer({"count": 0, **answer}, "count")
             # Later pages are read at the revision of the first, or the pages
             # would show a state that never was.
             body.setdefault("revision", _revision(answer))
@@ -166,7 +169,7 @@
             }
         )
         revision = max((item.revision for item in _items(answer)), default=0)
-        return revision, int(answer.get("count", 0))
+        return revision, _integer({"count": 0, **answer}, "count")
 
     # Writes
 
@@ -314,7 +317,7 @@
         """
         body = {"TTL": str(seconds)}
         answer = await self._call_to_read("lease", "/v3/lease/grant", body)
-        return int(answer["ID"])
+        return _integer(answer, "ID")
 
     async def keep_alive(self, lease: int) -> int:
         """Renew a lease and return its seconds left, 0 if it has lapsed.
@@ -326,7 +329,11 @@
         """
         body = {"ID": str(lease)}
         answer = await self._call_to_read("lease", "/v3/lease/keepalive", body)
-        return int(answer.get("result", {}).get("TTL", 0))
+        result = answer.get("result")
+        # No seconds left are left out, so only the id tells such an answer
+        # from a broken one.
+        _integer(result, "ID")
+        return _integer({"TTL": 0, **result}, "TTL")
 
     async def revoke(self, lease: int) -> WriteOutcome:
         """End a lease and delete the values that depend on it."""
@@ -359,7 +366,11 @@
     # Calls
 
     async def _read(self, body: dict[str, Any]) -> dict[str, Any]:
-        return await self._call_to_read("range", "/v3/kv/range", body)
+        answer = await self._call_to_read("range", "/v3/kv/range", body)
+        # An answer without a revision isn't the store's; taken for one, it
+        # would say that nothing is stored.
+        _revision(answer)
+        return answer
 
     async def _call_to_read(
         self, kind: str, path: str, body: dict[str, Any]
@@ -383,9 +394,12 @@
                 return AnswerLost(Failure(Code.STORE_ANSWER_LOST, str(error)))
             return NotWritten(Failure(Code.STORE_DOWN, str(error)))
         try:
+            # Checked first: without it, an empty answer of something else than
+            # the store would read as a conflict, and so as certain.
+            revision = _revision(answer)
             if revisions_by_key is not None and not answer.get("succeeded"):
                 return Conflict(_differing(answer, revisions_by_key))
-            return Written(_revision(answer))
+            return Written(revision)
         except StoreError as error:
             return AnswerLost(Failure(Code.STORE_ANSWER_LOST, str(error)))
 
@@ -394,14 +408,25 @@
     answer: dict[str, Any], revisions_by_key: Mapping[str, int]
 ) -> Item | None:
     """Find the first compared key whose revision differs."""
-    responses = answer.get("responses", ())
-    for response, revision in zip(responses, revisions_by_key.values(), strict=False):
-        item = next(iter(_items(response["response_range"])), None)
+    responses = _responses(answer, len(revisions_by_key))
+    for response, revision in zip(responses, revisions_by_key.values(), strict=True):
+        item = next(_items(response), None)
         if (item.revision if item else 0) != revision:
             return item
     return None
 
 
+def _responses(answer: dict[str, Any], count: int) -> list[dict[str, Any]]:
+    """Return the answers to the reads of a transaction."""
+    try:
+        responses = [item["response_range"] for item in answer["responses"]]
+    except WRONG_SHAPE:
+        raise StoreError("the store's answer has the wrong shape") from None
+    if len(responses) != count:
+        raise StoreError("the store's answer is incomplete")
+    return responses
+
+
 def _batches(values_by_key: Mapping[str, bytes]) -> Iterator[dict[str, bytes]]:
     batch: dict[str, bytes] = {}
     size = 0
@@ -430,8 +455,8 @@
     try:
         for value in answer.get("kvs", ()):
             yield Item(
-                base64.b64decode(value["key"]).decode(),
-                base64.b64decode(value.get("value", "")),
+                base64.b64decode(value["key"], validate=True).decode(),
+                base64.b64decode(value.get("value", ""), validate=True),
                 int(value["mod_revision"]),
             )
     except WRONG_SHAPE:
@@ -439,7 +464,12 @@
 
 
 def _revision(answer: dict[str, Any]) -> int:
+    return _integer(answer.get("header"), "revision")
+
+
+def _integer(fields: Any, name: str) -> int:
+    """Return a number, which the JSON form carries as text."""
     try:
-        return int(answer["header"]["revision"])
+        return int(fields[name])
     except WRONG_SHAPE:
-        raise StoreError("the store's answer has no revision") from None
+        raise StoreError(f"the store's answer has no {name}") from None
--- a/packages/zinniahook-store/tests/test_store.py
+++ b/packages/zinniahook-store/tests/test_store.py
@@ -70,7 +70,7 @@
 
         run(scenario())
         calls = server.state()["calls"]
-        assert calls == {"txn": 23, "range": 3}
+        assert calls == {"txn": 23, "range": 6}
 
     def test_transaction_is_all_or_nothing(self, server, prefix):
         async def scenario():
