Let a fault cost one connection or one decision

A fault in a flush ended the turn of all connections touched after it, and one in the core the read of other datagrams; seen in the demo, where closing a flow raised. Both are now confined, counted and logged. Offering QUIC v1 alone saves key derivations.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
@@ -158,12 +158,20 @@
         self._feeding = True
         try:
             while self._events:
-                event = self._events.popleft()
-                for effect in self.core.handle(self.node.now(), event):
-                    self._execute(effect)
+                self._decide(self._events.popleft())
         finally:
             self._feeding = False
 
+    def _decide(self, event: AgentEvent) -> None:
+        try:
+            for effect in self.core.handle(self.node.now(), event):
+                self._execute(effect)
+        except Exception:
+            # A fault in one decision would otherwise end the read of other
+            # flows' datagrams, or a timer, wherever it was fed from.
+            _logger.exception("decision failed")
+            self.node.count("agent.faults")
+
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine on its own and keep it alive."""
         task = asyncio.ensure_future(coroutine)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/connections.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/connections.py
@@ -30,7 +30,7 @@
     HandshakeCompleted,
     QuicEvent,
 )
-from aioquic.quic.packet import QuicFrameType
+from aioquic.quic.packet import QuicFrameType, QuicProtocolVersion
 from aioquic.quic.packet_builder import QuicPacketBuilder
 from aioquic.quic.recovery import QuicPacketNumberWindow, QuicPacketSpace
 from aioquic.quic.stream import QuicStream
@@ -101,6 +101,8 @@
         connection_id_length=CONNECTION_ID_LENGTH,
         idle_timeout=IDLE_TIMEOUT,
         max_stream_data=STREAM_WINDOW,
+        # Each further version costs a handshake three more key derivations.
+        supported_versions=[QuicProtocolVersion.VERSION_1],
     )
     configuration.load_cert_chain(certificate, key)
     return configuration
@@ -401,12 +403,7 @@
             connection.receive_datagram(payload, caller, now)
             self._deliver(connection)
         except Exception:
-            # A caller's bytes reached a fault in the parser. Without this the
-            # error would end the read of all other datagrams of this turn; it
-            # shows in the counter, and only this connection pays.
-            logging.getLogger(__name__).exception("connection failed")
-            self.failures += 1
-            self.drop(connection)
+            self._fail(connection)
             return
         self.touch(connection)
 
@@ -450,6 +447,14 @@
                 connection.send_ping(0)
                 self.touch(connection)
 
+    def _fail(self, connection: ServerConnection) -> None:
+        # A caller's bytes reached a fault in a parser. Without this the error
+        # would end the turn of all other connections; it shows in the log and
+        # the counter, and only this connection pays.
+        logging.getLogger(__name__).exception("connection failed")
+        self.failures += 1
+        self.drop(connection)
+
     def _issue(self, connection: ServerConnection) -> bytes:
         connection_id = self._issue_id()
         while connection_id in self.by_id:
@@ -481,8 +486,12 @@
         touched, self._touched = self._touched, {}
         now = self._loop.time()
         for connection in touched.values():
-            if connection.number in self.by_number:
+            if connection.number not in self.by_number:
+                continue
+            try:
                 self._flush_connection(connection, now)
+            except Exception:
+                self._fail(connection)
 
     def _flush_connection(self, connection: ServerConnection, now: float) -> None:
         for datagram, caller in connection.datagrams_to_send(now):
