--- a/packages/zinniahook-daemon/src/zinniahook_daemon/http3.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/http3.py
@@ -25,8 +25,8 @@
 )
 from zinniahook_core.codes import Code, Outcome, OutcomeKind
 
-from .connections import ServerConnection
 from .exchanges import KEY_LENGTH, Exchange, Head, Headers, answer_of
+from .quic import ServerConnection
 
 __all__ = ["CallerExchange", "Http3Session", "Owner"]
 
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/quic.py
@@ -0,0 +1,290 @@
+"""QUIC connections whose ids name the agent that owns them.
+
+What is overridden here are private parts of aioquic, so its version is pinned
+and test_connections.py holds each of them to what this module expects.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from aioquic import tls
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import (
+    END_STATES,
+    MAX_STREAM_DATA_FRAME_CAPACITY,
+    QuicConnection,
+    QuicConnectionId,
+)
+from aioquic.quic.crypto import CryptoPair
+from aioquic.quic.events import QuicEvent
+from aioquic.quic.packet import QuicFrameType, QuicProtocolVersion
+from aioquic.quic.packet_builder import QuicPacketBuilder
+from aioquic.quic.recovery import QuicPacketNumberWindow, QuicPacketSpace
+from aioquic.quic.stream import QuicStream
+from zinniahook_core.models import Address
+from zinniahook_core.routing import CONNECTION_ID_LENGTH
+
+__all__ = ["PacketWindow", "ServerConnection", "Session", "make_configuration"]
+
+IDLE_TIMEOUT = 30.0
+"""Seconds without a packet after which a connection has ended."""
+
+CONNECTION_IDS = 4
+"""Ids kept ready for a caller, so that it can change its address."""
+
+STREAM_WINDOW = 128 * 1024
+"""Bytes that a caller may send on a stream ahead of what was taken."""
+
+STREAMS = 64
+"""Requests that a caller may have open on one connection."""
+
+WINDOW_BITS = 256
+"""Packet numbers below the highest that are told apart from duplicates."""
+
+# It logs at INFO for each connection, and warns of what any caller can send.
+logging.getLogger("quic").setLevel(logging.ERROR)
+
+
+class Session(Protocol):
+    """What a connection carries; `Connections` calls it."""
+
+    busy: bool
+    """Whether a request is open, so that the connection must be kept alive."""
+
+    def handle(self, event: QuicEvent) -> None:
+        """Take an event of the connection."""
+
+    def flushed(self) -> None:
+        """Go on sending: datagrams left and acknowledgements came."""
+
+    def ended(self) -> None:
+        """Learn that the connection has ended; nothing can be sent any more."""
+
+
+def make_configuration(certificate: str, key: str) -> QuicConfiguration:
+    """Read the certificate and key that callers see.
+
+    Every connection shares the object; a reload makes a new one.
+
+    Raises
+    ------
+    OSError, ValueError
+        If a file can't be read or is not PEM.
+    """
+    configuration = QuicConfiguration(
+        alpn_protocols=["h3"],
+        is_client=False,
+        connection_id_length=CONNECTION_ID_LENGTH,
+        idle_timeout=IDLE_TIMEOUT,
+        max_stream_data=STREAM_WINDOW,
+        # Each further version costs a handshake three more key derivations.
+        supported_versions=[QuicProtocolVersion.VERSION_1],
+    )
+    configuration.load_cert_chain(certificate, key)
+    return configuration
+
+
+class PacketWindow(QuicPacketNumberWindow):
+    """The packet numbers received lately, as the bits of one integer.
+
+    aioquic keeps them in a set, which grows to about 40 KB a connection.
+    """
+
+    def __init__(self) -> None:
+        self._highest = -1
+        self._bits = 0
+
+    def add(self, packet_number: int) -> None:
+        """Note that a packet was received."""
+        ahead = packet_number - self._highest
+        if ahead > 0:
+            shifted = self._bits << ahead if ahead < WINDOW_BITS else 0
+            self._bits = (shifted | 1) & ((1 << WINDOW_BITS) - 1)
+            self._highest = packet_number
+        elif ahead > -WINDOW_BITS:
+            self._bits |= 1 << -ahead
+
+    def __contains__(self, packet_number: int) -> bool:
+        behind = self._highest - packet_number
+        if behind < 0:
+            return False
+        return behind >= WINDOW_BITS or bool(self._bits >> behind & 1)
+
+
+class _FinishedHandshake:
+    """Stands in for the TLS context of a connection whose handshake is over.
+
+    A TLS 1.3 client sends no handshake message after its Finished.
+    """
+
+    state = tls.State.SERVER_POST_HANDSHAKE
+
+    def handle_message(self, data: bytes, buffers: object) -> None:
+        """Refuse whatever comes."""
+        raise tls.AlertUnexpectedMessage("no handshake message was expected")
+
+
+_FINISHED_HANDSHAKE = _FinishedHandshake()
+_NO_EARLY_KEYS = CryptoPair()
+
+
+class _FrameHandlers:
+    """The frame handlers of one connection, bound when they are looked up."""
+
+    __slots__ = ("_connection",)
+
+    by_type: dict[int, tuple[Callable[..., None], frozenset[tls.Epoch]]] = {}
+
+    def __init__(self, connection: QuicConnection) -> None:
+        self._connection = connection
+
+    def __getitem__(
+        self, frame_type: int
+    ) -> tuple[Callable[..., None], frozenset[tls.Epoch]]:
+        handler, epochs = self.by_type[frame_type]
+        return handler.__get__(self._connection), epochs
+
+
+class ServerConnection(QuicConnection):
+    """A QUIC connection whose ids name this agent as its owner.
+
+    Parameters
+    ----------
+    configuration : QuicConfiguration
+        Shared by all connections.
+    flow : bytes
+        The caller's first destination connection id.
+    issue : callable
+        Draws a new connection id and registers it for this connection.
+    """
+
+    def __init__(
+        self,
+        configuration: QuicConfiguration,
+        flow: bytes,
+        issue: Callable[[ServerConnection], bytes],
+    ) -> None:
+        super().__init__(
+            configuration=configuration, original_destination_connection_id=flow
+        )
+        self.flow = flow
+        self.number = 0
+        self.entry = Address("", 0)
+        self.caller = Address("", 0)
+        self.is_switched = False
+        self.session: Session | None = None
+        self.wake_at: float | None = None
+        self.opened_at = 0.0
+        self.heard_at = 0.0
+        self.handshaking = True
+        self.unread_by_stream: dict[int, int] = {}
+        self._issue = issue
+        # Nothing was fed yet, so the caller has seen no id of ours.
+        first = issue(self)
+        self._host_cids[0].cid = first
+        self.host_cid = first
+        self._local_initial_source_connection_id = first
+        self._local_max_streams_bidi.value = STREAMS
+        self._local_max_streams_bidi.sent = STREAMS
+
+    @property
+    def _QuicConnection__frame_handlers(self) -> _FrameHandlers:  # noqa: N802
+        return _FrameHandlers(self)
+
+    @_QuicConnection__frame_handlers.setter
+    def _QuicConnection__frame_handlers(self, handlers: dict[int, Any]) -> None:  # noqa: N802
+        # A dictionary of 33 bound methods, each with its own set, would cost
+        # every open connection 12 KB.
+        if not _FrameHandlers.by_type:
+            _FrameHandlers.by_type = {
+                frame_type: (handler.__func__, epochs)
+                for frame_type, (handler, epochs) in handlers.items()
+            }
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing can be sent or received any more."""
+        return self._state in END_STATES
+
+    @property
+    def probes(self) -> int:
+        """How often in a row a probe went unanswered."""
+        return self._loss._pto_count
+
+    @property
+    def connection_ids(self) -> list[bytes]:
+        """Every id of ours that the caller may use."""
+        return [host.cid for host in self._host_cids]
+
+    def unsent(self, stream_id: int) -> int:
+        """Return how many bytes of a stream the caller hasn't acknowledged."""
+        stream = self._streams.get(stream_id)
+        return len(stream.sender._buffer) if stream else 0
+
+    def stop_receiving(self, stream_id: int, error_code: int) -> bool:
+        """Ask the caller to send no more; False if it has sent everything."""
+        stream = self._streams.get(stream_id)
+        if stream is None or stream.receiver.is_finished:
+            return False
+        stream.receiver.stop(error_code)
+        return True
+
+    def release_handshake(self) -> None:
+        """Free what only the handshake needed, about 60 KB."""
+        self.handshaking = False
+        application = self._spaces[tls.Epoch.ONE_RTT]
+        window = PacketWindow()
+        for packet_number in sorted(application.received_packets._received):
+            window.add(packet_number)
+        application.received_packets = window
+        self.tls = _FINISHED_HANDSHAKE
+        self._crypto_buffers = {}
+        self._cryptos_initial = {}
+        self._crypto_streams = {
+            tls.Epoch.ONE_RTT: self._crypto_streams[tls.Epoch.ONE_RTT]
+        }
+        self._cryptos = {tls.Epoch.ONE_RTT: self._cryptos[tls.Epoch.ONE_RTT]}
+        # aioquic tears the 0-RTT keys down when the first 1-RTT packet comes.
+        self._cryptos[tls.Epoch.ZERO_RTT] = _NO_EARLY_KEYS
+        self._spaces = {tls.Epoch.ONE_RTT: application}
+        self._loss.spaces = [application]
+
+    def _replenish_connection_ids(self) -> None:
+        limit = min(CONNECTION_IDS, self._remote_active_connection_id_limit)
+        while len(self._host_cids) < limit:
+            self._host_cids.append(
+                QuicConnectionId(
+                    cid=self._issue(self),
+                    sequence_number=self._host_cid_seq,
+                    stateless_reset_token=os.urandom(16),
+                )
+            )
+            self._host_cid_seq += 1
+
+    def _write_stream_limits(
+        self, builder: QuicPacketBuilder, space: QuicPacketSpace, stream: QuicStream
+    ) -> None:
+        # aioquic doubles the window whatever was done with the data. A target
+        # that reads slower than its caller sends would then make the agent
+        # hold the whole body. The window moves with what was taken instead.
+        if not stream.max_stream_data_local or stream.receiver.is_finished:
+            return
+        unread = self.unread_by_stream.get(stream.stream_id, 0)
+        limit = stream.receiver.highest_offset - unread + STREAM_WINDOW
+        if limit - stream.max_stream_data_local >= STREAM_WINDOW // 2:
+            stream.max_stream_data_local = limit
+        if stream.max_stream_data_local_sent == stream.max_stream_data_local:
+            return
+        buffer = builder.start_frame(
+            QuicFrameType.MAX_STREAM_DATA,
+            capacity=MAX_STREAM_DATA_FRAME_CAPACITY,
+            handler=self._on_max_stream_data_delivery,
+            handler_args=(stream,),
+        )
+        buffer.push_uint_var(stream.stream_id)
+        buffer.push_uint_var(stream.max_stream_data_local)
+        stream.max_stream_data_local_sent = stream.max_stream_data_local
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
@@ -26,8 +26,9 @@
 from zinniahook_wire import peers
 from zinniahook_wire.tunnels import NO_ADDRESS, TunnelDatagram, TunnelKind
 
-from .connections import Connections, ServerConnection, make_configuration
+from .connections import Connections
 from .http3 import Http3Session
+from .quic import ServerConnection, make_configuration
 from .udpflows import UdpFlows
 
 if TYPE_CHECKING:
--- a/packages/zinniahook-daemon/tests/test_connections.py
+++ b/packages/zinniahook-daemon/tests/test_connections.py
@@ -15,9 +15,9 @@
 from aioquic.quic.connection import QuicConnection
 from zinniahook_core.models import Address, Key
 from zinniahook_core.routing import ConnectionIds, Owner, destination_of
-from zinniahook_daemon.connections import (
+from zinniahook_daemon.connections import Connections
+from zinniahook_daemon.quic import (
     STREAM_WINDOW,
-    Connections,
     PacketWindow,
     ServerConnection,
     make_configuration,
@@ -393,7 +393,7 @@
 
 
 class TestLibrary:
-    """What `connections` takes from aioquic's inside."""
+    """What `quic` takes from aioquic's inside."""
 
     def test_version(self):
         assert aioquic.__version__.startswith("1.7.")
--- a/packages/zinniahook-daemon/tests/test_exchanges.py
+++ b/packages/zinniahook-daemon/tests/test_exchanges.py
@@ -20,7 +20,7 @@
 from zinniahook_core.codes import Code, Outcome, OutcomeKind
 from zinniahook_core.models import Address, RequestClass, Service
 from zinniahook_core.routing import destination_of
-from zinniahook_daemon.connections import Connections, make_configuration
+from zinniahook_daemon.connections import Connections
 from zinniahook_daemon.exchanges import (
     Answer,
     answer_of,
@@ -29,6 +29,7 @@
     encode_answer,
 )
 from zinniahook_daemon.http3 import HIGH_WATER, Http3Session
+from zinniahook_daemon.quic import make_configuration
 from zinniahook_daemon.sockets import UdpSocket
 from zinniahook_daemon.targets import Result, Target
 from zinniahook_testkit.certificates import Authority
