Weigh peers' reports by their age and requests by free slots

Cause: a margin of a quarter of the slots kept requests at full targets, and old reports of idle peers drew herds. Change: any gain of a slot counts above half of the own slots, old reports are pulled to the mean, flows are weighed against the mean with a little of the requests.

--- a/packages/zinniahook-core/src/zinniahook_core/placement.py
+++ b/packages/zinniahook-core/src/zinniahook_core/placement.py
@@ -9,8 +9,9 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from .events import TargetReported
 from .messages import Heartbeat
@@ -22,8 +23,13 @@
 REPORT_AGE = 3.0
 IN_FLIGHT = 0.02
 BUCKET = 0.01
-FLOW_MARGIN = 0.02
-REQUEST_MARGIN = 0.25
+CHOICES = 2
+FLOW_MARGIN = 0.05
+"""How much a peer must be better, in parts of the mean."""
+FILLED_WEIGHT = 0.2
+LOCAL_SHARE = 0.5
+"""Up to this share of its slots an agent runs what it gets."""
+TRUST_TIME = 1.0
 WARM_UP = 10.0
 COLD_SHARE = 0.2
 HEALTH_HALF_LIFE = 5.0
@@ -110,7 +116,19 @@
     handed: list[Handed] = field(default_factory=list)
 
 
-Score = Callable[[Load, float, int, int], float]
+class Work(NamedTuple):
+    """What one peer is thought to have in progress, and its usable slots."""
+
+    flows: float
+    streams: float
+    busy: float
+    slots: float
+    age: float
+
+    @property
+    def filled(self) -> float:
+        """Requests running and queued per slot."""
+        return self.busy / self.slots
 
 
 class Placement:
@@ -202,7 +220,7 @@
             This agent may not take it (it is leaving); None then means that
             no peer is ready.
         """
-        return self._choose(now, local, forced, _flow_score, FLOW_MARGIN, 0)
+        return self._choose_by(now, local, forced, lambda work: work.flows)
 
     def choose_for_request(
         self, now: float, slots_needed: int, local: Load, forced: bool = False
@@ -213,36 +231,75 @@
         the streams in progress.
         """
         if slots_needed == 0:
-            return self._choose(now, local, forced, _stream_score, FLOW_MARGIN, 0)
-        if not forced and local.busy + local.queued + slots_needed <= local.slots / 2:
+            return self._choose_by(now, local, forced, lambda work: work.streams)
+        own = self._own_work(now, local)
+        filled = (own.busy + slots_needed) / own.slots
+        if filled <= LOCAL_SHARE and not forced:
             return None
-        return self._choose(
-            now, local, forced, _request_score, REQUEST_MARGIN, slots_needed
-        )
-
-    def _choose(
+        works = self._peers_work(now)
+        if not works:
+            return self._any_ready() if forced else None
+        mean = sum(work.filled for work in works.values()) / len(works)
+        scored = []
+        for name in self._pair(works):
+            work = works[name]
+            # The older a report of short requests, the less it says; it is
+            # pulled to the mean, or the last to report idle draws a herd.
+            trust = math.exp(-work.age / TRUST_TIME)
+            expected = mean + (work.filled - mean) * trust
+            scored.append((expected + slots_needed / work.slots, name))
+        score, name = min(scored)
+        return name if forced or score < filled else None
+
+    def _choose_by(
         self,
         now: float,
         local: Load,
         forced: bool,
-        score: Score,
-        margin: float,
-        needed: int,
+        count: Callable[[Work], float],
     ) -> str | None:
-        fresh = [
-            name
-            for name, peer in self._peers_by_name.items()
-            if peer.ready and not peer.leaving and now - peer.reported_at <= REPORT_AGE
-        ]
-        if not fresh:
+        """Choose by a count of long-lived things, and a little by requests."""
+        works = self._peers_work(now)
+        if not works:
             return self._any_ready() if forced else None
-        pair = self._rng.sample(fresh, 2) if len(fresh) > 1 else fresh
-        scored = [(self._score_peer(name, score, needed), name) for name in pair]
-        peer_score, name = min(scored)
-        if forced:
-            return name
-        own = score(local, self.health.share(now), 0, needed)
-        return name if peer_score + margin < own else None
+        own = self._own_work(now, local)
+        everyone = [own, *works.values()]
+        total = sum(count(work) for work in everyone)
+        mean = max(total, 1.0) / sum(work.slots for work in everyone)
+
+        def score(work: Work) -> float:
+            return count(work) / work.slots / mean + FILLED_WEIGHT * work.filled
+
+        best = min(self._pair(works), key=lambda name: score(works[name]))
+        gains = score(works[best]) + FLOW_MARGIN < score(own)
+        return best if forced or gains else None
+
+    def _pair(self, works: Mapping[str, Work]) -> list[str]:
+        return self._rng.sample(list(works), min(CHOICES, len(works)))
+
+    def _own_work(self, now: float, local: Load) -> Work:
+        slots = _usable(local) * self.health.share(now)
+        busy = local.busy + local.queued
+        return Work(local.flows, local.streams, busy, max(LEAST_SLOTS, slots), 0.0)
+
+    def _peers_work(self, now: float) -> dict[str, Work]:
+        """Return the work of every ready peer with a fresh report."""
+        works_by_name = {}
+        for name, peer in self._peers_by_name.items():
+            age = now - peer.reported_at
+            if not peer.ready or peer.leaving or age > REPORT_AGE:
+                continue
+            flows = sum(item.flows for item in peer.handed)
+            slots = sum(item.slots for item in peer.handed)
+            load = peer.load
+            works_by_name[name] = Work(
+                load.flows + flows,
+                load.streams + flows,
+                load.busy + load.queued + slots,
+                max(LEAST_SLOTS, _usable(load)),
+                age,
+            )
+        return works_by_name
 
     def _any_ready(self) -> str | None:
         ready = [
@@ -252,27 +309,7 @@
         ]
         return self._rng.choice(ready) if ready else None
 
-    def _score_peer(self, name: str, score: Score, needed: int) -> float:
-        peer = self._peers_by_name[name]
-        slots = sum(item.slots for item in peer.handed)
-        flows = sum(item.flows for item in peer.handed)
-        extra = flows if score is not _request_score else slots
-        return score(peer.load, 1.0, extra, needed)
-
-
-def _slots(load: Load, share: float) -> float:
-    """Weigh the slots by health and, while the target is cold, by warm-up."""
-    warm = 1.0 - load.cold * (1.0 - COLD_SHARE)
-    return max(LEAST_SLOTS, load.slots * share * warm)
-
-
-def _flow_score(load: Load, share: float, extra: int, needed: int) -> float:
-    return (load.flows + load.streams + extra) / _slots(load, share)
-
-
-def _stream_score(load: Load, share: float, extra: int, needed: int) -> float:
-    return (load.streams + extra) / _slots(load, share)
-
 
-def _request_score(load: Load, share: float, extra: int, needed: int) -> float:
-    return (load.busy + load.queued + extra + needed) / _slots(load, share)
+def _usable(load: Load) -> float:
+    """Return the slots that a target can fill, fewer while it is cold."""
+    return load.slots * (1.0 - load.cold * (1.0 - COLD_SHARE))
