testkit: end started processes when the run that started them is killed

Cause: a killed test run or benchmark runs no cleanup; its stand-ins went on and loaded the machine (seen: some from minutes before). Change: a process started from the main thread has the kernel kill it at the end of its parent.

--- a/packages/zinniahook-testkit/src/zinniahook_testkit/processes.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/processes.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import ctypes
 import json
 import os
 import selectors
 import signal
 import subprocess
 import sys
+import threading
 import time
 import urllib.request
 from collections.abc import Mapping
@@ -38,6 +40,11 @@
 
 READ_SIZE = 65536
 
+SET_PARENT_DEATH_SIGNAL = 1
+"""Operation of prctl(2)."""
+
+_libc = ctypes.CDLL(None)
+
 
 class NotReadyError(RuntimeError):
     """A process ended, or said nothing in time, before it was ready."""
@@ -197,6 +204,7 @@
         stdin=subprocess.DEVNULL,
         stdout=subprocess.PIPE,
         env={**os.environ, **(env or {})},
+        preexec_fn=_die_with_parent if _is_main_thread() else None,
     )
     try:
         line = _read_line(popen, timeout)
@@ -209,6 +217,20 @@
     return Process(popen, ready.get("ready", ready))
 
 
+def _is_main_thread() -> bool:
+    return threading.current_thread() is threading.main_thread()
+
+
+def _die_with_parent() -> None:
+    """Have the kernel kill this process when the one that started it ends.
+
+    A test run that is killed runs no cleanup, and what it started would go on
+    for ever, seen as load on the machine and as ports in use. The kernel acts
+    on the end of the starting thread, so only the main thread may ask for it.
+    """
+    _libc.prctl(SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
+
+
 def _read_line(popen: subprocess.Popen[bytes], timeout: float) -> bytes:
     """Read the first line without waiting longer than ``timeout``."""
     deadline = time.monotonic() + timeout
