Wake a paused agent without running anything twice

Tested with real processes: tickets go on while an agent is stopped until it is marked down and then resumed. Relays to peers that were marked down end, and an exchange whose caller is gone is forgotten when its run ends; a Run for one that is gone is answered at once, as it would hold its slot for good.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
@@ -223,7 +223,13 @@
             return
         self.feed(RosterChanged(roster))
         self.roster = self.core.roster
-        self.relays.keep({member.control for member in self.roster.by_name.values()})
+        self.relays.keep(
+            {
+                member.control
+                for member in self.roster.by_name.values()
+                if member.state is not AgentState.DOWN
+            }
+        )
 
     async def _probe(self) -> None:
         if self.service.protocol is Protocol.UDP:
@@ -317,6 +323,9 @@
         self.feed(
             RequestFinished(exchange.number, result.outcome, result.started, answer)
         )
+        # The core has nothing more to say to a caller that is gone.
+        if exchange.finished and exchange.number not in self._tasks_by_number:
+            self._forget(exchange)
 
     def _answer_joined(self, exchange: Exchange, answer: bytes) -> None:
         for joined in self._joined_by_number.pop(exchange.number, ()):
@@ -342,14 +351,14 @@
 
     @_executes(todo.Run)
     def _run(self, effect: todo.Run) -> None:
-        exchange = self._exchanges_by_number.get(effect.request)
-        if exchange is not None and self._may_start(exchange):
+        exchange = self._startable(effect.request)
+        if exchange is not None:
             self._start(exchange, self.target.run(exchange))
 
     @_executes(todo.Relay)
     def _relay(self, effect: todo.Relay) -> None:
-        exchange = self._exchanges_by_number.get(effect.request)
-        if exchange is None or not self._may_start(exchange):
+        exchange = self._startable(effect.request)
+        if exchange is None:
             return
         peer = self.core.roster.by_name.get(effect.peer)
         if peer is None:
@@ -359,14 +368,22 @@
         self.node.count("agent.relayed")
         self._start(exchange, self.relays.run(exchange, peer.control))
 
-    def _may_start(self, exchange: Exchange) -> bool:
-        """Tell whether an attempt can still give the caller a whole answer."""
-        if not exchange.status and not exchange.body.taken:
-            exchange.started = False
-            return True
-        outcome = Outcome(OutcomeKind.UNKNOWN, Code.ANSWER_LOST)
-        self.feed(RequestFinished(exchange.number, outcome, True))
-        return False
+    def _startable(self, request: int) -> Exchange | None:
+        """Return a request that an attempt can still answer whole.
+
+        For any other the core is told at once; it would hold a slot for good.
+        """
+        exchange = self._exchanges_by_number.get(request)
+        if exchange is None:
+            outcome = Outcome(OutcomeKind.CANCELLED_BEFORE, Code.CANCELLED_BEFORE)
+            self.feed(RequestFinished(request, outcome, False))
+            return None
+        if exchange.status or exchange.body.taken:
+            outcome = Outcome(OutcomeKind.UNKNOWN, Code.ANSWER_LOST)
+            self.feed(RequestFinished(request, outcome, True))
+            return None
+        exchange.started = False
+        return exchange
 
     @_executes(todo.JoinRequest)
     def _join(self, effect: todo.JoinRequest) -> None:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/relays.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/relays.py
@@ -81,16 +81,21 @@
                 if result is None or not pump.done():
                     await stream.cancel()
         except BROKEN:
-            self._forget(peer)
+            # The channel connects again by itself; the verdict tells the rest.
+            pass
         finally:
             if pump is not None:
                 pump.cancel()
         return _verdict(exchange, result)
 
     def keep(self, addresses: set[Address]) -> None:
-        """Close the channels to all but these peers."""
+        """Close the channels to all but these peers.
+
+        A peer that is gone without closing its connections would otherwise
+        keep its relays waiting for good; closing the channel ends them.
+        """
         for address in set(self._channels_by_address) - addresses:
-            self._forget(address)
+            self._channels_by_address.pop(address).close()
 
     def close(self) -> None:
         """Close every channel."""
@@ -105,10 +110,6 @@
             self._channels_by_address[address] = channel
         return channel
 
-    def _forget(self, address: Address) -> None:
-        # Requests that are still running on it keep their own reference.
-        self._channels_by_address.pop(address, None)
-
     def _head(self, exchange: Exchange) -> RelayHead:
         head = exchange.head
         left = 0.0
--- a/packages/zinniahook-daemon/tests/test_relays.py
+++ b/packages/zinniahook-daemon/tests/test_relays.py
@@ -223,6 +223,30 @@
 
         run(echo, scenario)
 
+    def test_a_peer_that_was_marked_down(self, run):
+        """A peer disappears without closing its connections.
+
+        Symptom: a caller waits for good. Sequence: a relay is under way, the
+        peer's machine is gone, its peers mark it down. Cause: TCP alone tells
+        of it after many minutes.
+        """
+
+        async def scenario(peer: Peer, relays: Relays, address: Address) -> None:
+            caller = Caller("GET")
+            caller.body.feed(b"", end=True)
+            task = asyncio.ensure_future(relays.run(caller, address))
+            while not caller.status:
+                await asyncio.sleep(0)
+            relays.keep({address})
+            assert not task.done()
+            relays.keep(set())
+            result = await task
+            assert result.outcome.code is Code.ANSWER_LOST
+            assert result.started
+            assert caller.was_reset
+
+        run(stall, scenario)
+
     def test_a_cancelled_one_ends_at_the_peer(self, run):
         async def scenario(peer: Peer, relays: Relays, address: Address) -> None:
             caller = Caller("GET")
--- a/tests/test_agent_path.py
+++ b/tests/test_agent_path.py
@@ -4,21 +4,24 @@
 
 import asyncio
 import contextlib
+import functools
 import hashlib
 import json
 import urllib.request
+from collections import Counter
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import pytest
 import tomli_w
-from zinniahook_caller import Session
+from zinniahook_caller import NotRunError, OutcomeError, Session
 from zinniahook_core.configuration import parse
-from zinniahook_core.models import Address
+from zinniahook_core.models import Address, AgentState
 from zinniahook_store import Store
 from zinniahook_store.configurations import Committed, commit, new_operation, read
 from zinniahook_testkit import processes, stores
 from zinniahook_testkit.certificates import Authority
+from zinniahook_wire.rosters import roster_from_json, roster_key
 
 PATIENCE = 30.0
 HOSTS = ("127.0.1.1", "127.0.1.2", "127.0.1.3")
@@ -139,6 +142,20 @@
             self.fabric["tally"], ca=str(self.files.authority), server_name="localhost"
         )
 
+    def stored(self, name: str) -> tuple[AgentState, int] | None:
+        """Return state and incarnation of an agent in the store's roster."""
+
+        async def look() -> tuple[AgentState, int] | None:
+            store = Store((Address.parse(self.store.address),), 5.0)
+            item = await store.get(roster_key("tally"))
+            if item is None:
+                return None
+            roster = roster_from_json("tally", item.revision, item.value)
+            member = roster.by_name.get(name)
+            return member and (member.state, member.incarnation)
+
+        return asyncio.run(look())
+
     def total(self, name: str) -> int:
         return sum(member.ledger()["counts"].get(name, 0) for member in self.members)
 
@@ -264,6 +281,70 @@
             assert set(member.ledger()["runs_by_ticket"].values()) <= {1}
 
 
+class TestPause:
+    def test_a_paused_agent_runs_nothing_twice(self, deployment: Deployment):
+        """An agent sleeps, is given up, and wakes with old work in hand.
+
+        Symptom: a ticket runs twice, or runs after its caller was told that
+        it hasn't. Sequence: tickets without end, SIGSTOP, the peer marks the
+        agent down and goes on, SIGCONT. Cause: a process that wakes acts on
+        an authority that it has lost.
+        """
+        for number in range(2):
+            deployment.member(f"tally-{number}", service_time=0.1)
+        paused = deployment.members[0].agent
+        told: dict[str, str] = {}
+        stopping = asyncio.Event()
+
+        async def clerk(session: Session, name: int) -> None:
+            number = 0
+            while not stopping.is_set():
+                number += 1
+                ticket = f"t{name}-{number}"
+                try:
+                    answer = await session.post(
+                        "/tickets", json={"ticket": ticket}, deadline=10
+                    )
+                    told[ticket] = "done" if answer.status == 200 else "failed"
+                except NotRunError:
+                    told[ticket] = "not run"
+                except OutcomeError:
+                    told[ticket] = "unknown"
+
+        async def scenario() -> None:
+            async with contextlib.AsyncExitStack() as stack:
+                sessions = [
+                    await stack.enter_async_context(deployment.session())
+                    for _ in range(6)
+                ]
+                clerks = [
+                    asyncio.ensure_future(clerk(session, name))
+                    for name, session in enumerate(sessions)
+                ]
+                await until(lambda: len(told) > 20)
+                stored = functools.partial(
+                    asyncio.to_thread, deployment.stored, "tally-0"
+                )
+                _, incarnation = await stored()
+                paused.pause()
+                await until(lambda: deployment.stored("tally-0")[0] is AgentState.DOWN)
+                paused.resume()
+                await until(lambda: deployment.stored("tally-0")[0] is AgentState.READY)
+                assert (await stored())[1] > incarnation
+                seen = len(told)
+                await until(lambda: len(told) > seen + 20)
+                stopping.set()
+                await asyncio.gather(*clerks)
+
+        asyncio.run(scenario())
+        runs: Counter[str] = Counter()
+        for member in deployment.members:
+            runs.update(member.ledger()["runs_by_ticket"])
+        assert max(runs.values()) == 1
+        assert not [t for t, word in told.items() if word == "done" and not runs[t]]
+        assert not [t for t, word in told.items() if word == "not run" and runs[t]]
+
+
 class TestPlainUdp:
     def test_a_flow_stays_at_its_target(self, deployment: Deployment):
         for number in range(2):
