--- a/tests/test_agent_path.py
+++ b/tests/test_agent_path.py
@@ -11,9 +11,16 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 import tomli_w
+from aioquic.asyncio.client import connect
+from aioquic.asyncio.protocol import QuicConnectionProtocol
+from aioquic.h3.connection import H3Connection
+from aioquic.h3.events import DataReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.events import QuicEvent
 from zinniahook_caller import NotRunError, OutcomeError, Session
 from zinniahook_core.configuration import parse
 from zinniahook_core.models import Address, AgentState
@@ -169,6 +176,34 @@
         yield deployment
 
 
+class OrdinaryClient(QuicConnectionProtocol):
+    """aioquic's client classes and nothing of ours."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.http = H3Connection(self._quic)
+        self.body = bytearray()
+        self.ended = asyncio.Event()
+
+    def quic_event_received(self, event: QuicEvent) -> None:
+        for http_event in self.http.handle_event(event):
+            if isinstance(http_event, DataReceived):
+                self.body += http_event.data
+            if http_event.stream_ended:
+                self.ended.set()
+
+    async def get(self, path: str) -> bytes:
+        names = {":method": "GET", ":scheme": "https", ":authority": "localhost"}
+        headers = [
+            (k.encode(), v.encode()) for k, v in {**names, ":path": path}.items()
+        ]
+        stream_id = self._quic.get_next_available_stream_id()
+        self.http.send_headers(stream_id, headers, end_stream=True)
+        self.transmit()
+        await self.ended.wait()
+        return bytes(self.body)
+
+
 async def until(condition: Callable[[], bool]) -> None:
     """Ask other processes until they agree; nothing here can wake us."""
     async with asyncio.timeout(PATIENCE):
@@ -198,6 +233,28 @@
         assert sum(len(each) for each in runs) == 60
         assert all(count == 1 for each in runs for count in each.values())
 
+    def test_an_ordinary_client(self, deployment: Deployment):
+        for number in range(2):
+            deployment.member(f"tally-{number}")
+        host, _, port = deployment.fabric["tally"].rpartition(":")
+        configuration = QuicConfiguration(
+            alpn_protocols=["h3"],
+            cafile=str(deployment.files.authority),
+            server_name="localhost",
+        )
+
+        async def scenario() -> bytes:
+            connecting = connect(
+                host,
+                int(port),
+                configuration=configuration,
+                create_protocol=OrdinaryClient,
+            )
+            async with asyncio.timeout(PATIENCE), connecting as client:
+                return await client.get("/ledger?size=300000")
+
+        assert len(asyncio.run(scenario())) == 300_000
+
     def test_a_large_ledger_in_little_memory(self, deployment: Deployment):
         """A caller pulls a ledger far larger than what an agent may hold.
 
