Copy claims again after a loss, and keep what a paused agent remembers

Cause: any two losses within an hour made every key without a record unprovable, and a grant that was never used outlived its owner's absence. Change: survivors copy what they held with a lost member to a third and declare it; a member that was only paused takes its losses back; a lookup does without one silent member, prefers the runner's own word, and also checks records of a returned owner; a process takes part only under the incarnation that the roster confirms; a later attempt that joins an earlier one raises its claim.

--- a/packages/zinniahook-core/src/zinniahook_core/agents.py
+++ b/packages/zinniahook-core/src/zinniahook_core/agents.py
@@ -153,6 +153,8 @@
             self._known = self.membership.roster
             self.placement.roster(now, self._known)
             followed += self.requests.handle(now, RosterChanged(self._known))
+        if not self.membership.fenced:
+            self.requests.confirm(now, self.membership.incarnation)
         if self._ready_since is None and self.state is AgentState.READY:
             self._ready_since = now
         # Nothing new is begun by an agent that leaves, or whose work peers
--- a/packages/zinniahook-core/src/zinniahook_core/arbiters.py
+++ b/packages/zinniahook-core/src/zinniahook_core/arbiters.py
@@ -10,7 +10,7 @@
 
 from .codes import Code
 from .effects import AgentEffect, Count, SendPeer
-from .lookups import Lookup, Lookups
+from .lookups import Finding, Lookup, Lookups
 from .messages import ClaimAnswer, ClaimAsk, ClaimIntent, ClaimState
 from .records import (
     KEY_LIFETIME,
@@ -92,11 +92,9 @@
             self._lookups.renumber(sender, ask)
             return None
         record = self._records.get(now, ask.key)
-        if record is not None and record.ran:
-            return self._decide_claimed(now, sender, ask, record)
-        if self._view.fresh(now, ask.key):
+        if self._needs_lookup(now, ask.key, record):
             return self._begin_lookup(now, sender, ask)
-        return self._decide_unclaimed(now, sender, ask, 0)
+        return self._decide(now, sender, ask, record, 0)
 
     def look(self, now: float, sender: str, ask: ClaimAsk) -> ClaimAnswer | None:
         """Answer a new owner's LOOK; None if the rosters differ.
@@ -124,27 +122,69 @@
             The asker and what it is told, once that is known.
         """
         lookup = self._lookups.take(sender, answer)
-        if lookup is None or lookup.revision != self._view.revision:
-            return None
-        ask = lookup.ask
-        if lookup.found is not None:
-            self._learn_found(now, lookup, lookup.found)
-        record = self._records.get(now, ask.key)
-        if record is not None and record.ran:
-            return lookup.sender, self._decide_claimed(now, lookup.sender, ask, record)
-        return lookup.sender, self._decide_unclaimed(
-            now, lookup.sender, ask, lookup.losses
-        )
+        return self._conclude(now, lookup) if lookup else None
+
+    def tick(self, now: float) -> list[tuple[str, ClaimAnswer]]:
+        """Repeat the lookups that are unanswered, or do without an answer.
 
-    def tick(self, now: float) -> None:
-        """Repeat the lookups that are unanswered."""
+        A silent member counts as lost: of the two holders of a claim the
+        other one has answered. Returns askers with what they are told.
+        """
+        concluded = []
+        for lookup in self._lookups.overdue(now):
+            if self._missing(now, lookup) >= TWO_LOSSES:
+                continue
+            self._lookups.end(lookup)
+            concluded.append(self._conclude(now, lookup))
         for lookup in self._lookups.due(now):
             self._send_look(lookup)
+        return concluded
 
     def reset(self) -> None:
         """Forget the lookups made under an older roster; askers ask again."""
         self._lookups.drop_all()
 
+    def _missing(self, now: float, lookup: Lookup) -> int:
+        """Count the losses and silent members that may hide a claim."""
+        losses = max(lookup.losses, self._losses(now, lookup.ask.attempt))
+        return losses + len(lookup.waiting)
+
+    def _needs_lookup(self, now: float, key: bytes, record: Record | None) -> bool:
+        """Tell whether others may know more of a key than this owner."""
+        if record is not None:
+            if record.state is ClaimState.FINISHED:
+                return False
+            if record.checked == self._view.revision:
+                return False
+        return self._view.fresh(now, key)
+
+    def _conclude(self, now: float, lookup: Lookup) -> tuple[str, ClaimAnswer]:
+        ask = lookup.ask
+        missing = self._missing(now, lookup)
+        own = self._records.get(now, ask.key)
+        if own is not None:
+            told = tell(now, self._view, ask, own)
+            lookup.answers_by_name[self._view.name] = told
+        finding = lookup.finding()
+        if finding is None:
+            self._records.remove(ask.key)
+        elif finding.name != self._view.name:
+            self._learn(now, ask, finding)
+        record = self._records.get(now, ask.key)
+        return lookup.sender, self._decide(now, lookup.sender, ask, record, missing)
+
+    def _decide(
+        self,
+        now: float,
+        sender: str,
+        ask: ClaimAsk,
+        record: Record | None,
+        missing: int,
+    ) -> ClaimAnswer:
+        if record is not None and record.ran:
+            return self._decide_claimed(now, sender, ask, record)
+        return self._decide_unclaimed(now, sender, ask, missing)
+
     def _decide_claimed(
         self, now: float, sender: str, ask: ClaimAsk, record: Record
     ) -> ClaimAnswer:
@@ -172,6 +212,7 @@
     def _grant(self, now: float, sender: str, ask: ClaimAsk) -> ClaimAnswer:
         make = granted if ask.intent is ClaimIntent.RUN else refused
         record = make(now, sender, ask.incarnation, ask.attempt)
+        record.checked = self._view.revision
         self._records.put(now, ask.key, record)
         return ClaimAnswer(ask.number, ask.key, record.state, sender)
 
@@ -187,7 +228,8 @@
     ) -> ClaimAnswer | None:
         waiting = {name for name in self._view.live if name != sender}
         if not waiting:
-            return self._decide_unclaimed(now, sender, ask, 0)
+            record = self._records.get(now, ask.key)
+            return self._decide(now, sender, ask, record, 0)
         lookup = Lookup(
             self._next_number(), sender, ask, self._view.revision, waiting, now, now
         )
@@ -200,7 +242,8 @@
         message = self._lookups.message(lookup, view.name, view.incarnation)
         self._effects += [SendPeer(name, message) for name in sorted(lookup.waiting)]
 
-    def _learn_found(self, now: float, lookup: Lookup, found: ClaimAnswer) -> None:
+    def _learn(self, now: float, ask: ClaimAsk, finding: Finding) -> None:
+        name, found = finding
         state = found.state
         if state is ClaimState.RUNNING:
             state = ClaimState.GRANTED
@@ -210,12 +253,15 @@
             state,
             found.runner,
             found.incarnation,
-            lookup.ask.attempt,
+            ask.attempt,
             now,
             now + lifetime,
             found.answer,
+            name,
+            self._view.incarnation_of(name),
+            self._view.revision,
         )
-        self._records.put(now, lookup.ask.key, record)
+        self._records.put(now, ask.key, record)
 
 
 def _is_late(ask: ClaimAsk, record: Record) -> bool:
--- a/packages/zinniahook-core/src/zinniahook_core/claims.py
+++ b/packages/zinniahook-core/src/zinniahook_core/claims.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 from .arbiters import Arbiter, tell
@@ -36,7 +37,7 @@
 """A grant older than this, counted from its ask, may have been taken over."""
 
 ANNOUNCE_AGAIN = 1.0
-HEAL_INTERVAL = 1.0
+DECLARE_INTERVAL = 1.0
 PARTNER_TRIES = 3
 
 Handler = Callable[[Any, float, str, Any], None]
@@ -84,6 +85,16 @@
     tries: int = 0
 
 
+@dataclass(slots=True)
+class Declaration:
+    """What the others are being told: nothing is held by this agent alone."""
+
+    number: int
+    revision: int
+    sent_at: float = -math.inf
+    acknowledged: set[str] = field(default_factory=set)
+
+
 class Claims:
     """The claims of one agent: as asker, as runner, as owner and as holder.
 
@@ -102,11 +113,10 @@
         self._asks_by_number: dict[int, Ask] = {}
         self._announcements: deque[tuple[float, bytes]] = deque()
         self._handover: Handover | None = None
-        self._was_alone = False
-        self._healed_peers: set[str] = set()
-        self._heal_at = 0.0
-        self._heal_number = 0
+        self._declared: Declaration | None = None
         self._leaving = False
+        self._remembers = 0
+        self._confirmed = False
         self.view = View(name)
         self.records = Records()
         self._arbiter = Arbiter(
@@ -191,17 +201,34 @@
         then it may still have granted claims as their owner.
         """
         self._leaving = True
-        self._handover = self._new_handover()
+        self._hand_over()
+
+    def confirm(self, now: float, incarnation: int) -> None:
+        """Take part: the roster holds this very process under ``incarnation``.
+
+        What goes wrong otherwise: a process starts under the name of one that
+        has crashed, finds the entry of its former life in the roster, and
+        vouches for records that are lost.
+        """
+        if self._confirmed:
+            return
+        self._confirmed = True
+        self._remembers = self._remembers or incarnation
+        self.view.incarnation = incarnation
+        self._hand_over()
+        for ask in list(self._asks_by_request.values()):
+            self._ask_anew(now, ask)
 
-    def restart(self, now: float, incarnation: int) -> None:
-        """Go on under a new incarnation; what was waited for is void.
+    def restart(self, now: float) -> None:
+        """Stop taking part until confirmed; what was waited for is void.
 
         Records are facts of the past and stay.
         """
+        self._confirmed = False
         self._asks_by_request.clear()
         self._asks_by_number.clear()
         self._arbiter.reset()
-        self.view.restart(now, incarnation)
+        self.view.restart(now)
 
     def learn(self, now: float, roster: Roster) -> None:
         """Take a newer roster.
@@ -213,14 +240,14 @@
         if not self.view.learn(now, roster):
             return
         self._arbiter.reset()
-        self._note_alone()
+        self._hand_over()
         for ask in list(self._asks_by_request.values()):
             self._ask_anew(now, ask)
 
     def receive(self, now: float, sender: str, message: object) -> None:
         """Take a peer's message."""
         handler = _HANDLERS_BY_MESSAGE.get(type(message))
-        if handler is not None:
+        if handler is not None and self._confirmed:
             handler(self, now, sender, message)
 
     def tick(self, now: float) -> None:
@@ -233,13 +260,16 @@
                 )
             elif now - ask.sent_at >= REPEAT_AFTER:
                 self._repeat(now, ask)
-        self._arbiter.tick(now)
+        self.records.expire(now)
+        if not self._confirmed:
+            return
+        for asker, told in self._arbiter.tick(now):
+            self._reply(now, asker, told)
         while self._announcements and self._announcements[0][0] <= now:
             self._announce(now, self._announcements.popleft()[1])
-        self.records.expire(now)
         if self._handover is not None:
             self._effects += self._handover.send(now)
-        self._heal(now)
+        self._declare(now)
 
     # As asker and runner
 
@@ -262,7 +292,7 @@
 
     def _send(self, now: float, ask: Ask) -> None:
         ask.sent_at = now
-        if ask.owner is None:
+        if ask.owner is None or not self._confirmed:
             return
         message = self._message(ask)
         if ask.owner != self._name:
@@ -328,6 +358,8 @@
         """Record a grant or refusal at the asker."""
         make = granted if ask.intent is ClaimIntent.RUN else refused
         record = make(now, self._name, self.view.incarnation, ask.attempt)
+        record.other = ask.owner or ""
+        record.other_incarnation = self.view.incarnation_of(record.other)
         self.records.put(now, ask.key, record)
 
     def _replicate(self, now: float, ask: Ask) -> None:
@@ -339,7 +371,6 @@
         """
         partners = self.view.partners(ask.key)
         if not partners:
-            self._was_alone = True
             self._conclude(now, ask)
             return
         record = self.records.get(now, ask.key)
@@ -388,6 +419,9 @@
         incarnation = record.incarnation if record else self.view.incarnation
         until = now + KEY_LIFETIME
         ended = Record(state, self._name, incarnation, attempt, now, until, answer)
+        if record is not None:
+            ended.other = record.other
+            ended.other_incarnation = record.other_incarnation
         self.records.put(now, key, ended)
 
     def _announce(self, now: float, key: bytes) -> None:
@@ -419,7 +453,9 @@
         reply = self._arbiter.looked(now, sender, answer)
         if reply is None:
             return
-        asker, told = reply
+        self._reply(now, *reply)
+
+    def _reply(self, now: float, asker: str, told: ClaimAnswer) -> None:
         if asker == self._name:
             self._answered(now, self._name, told)
         else:
@@ -440,36 +476,47 @@
             now + KEY_LIFETIME,
             message.answer,
         )
-        self.records.absorb(now, record.message(now, message.key))
+        told = record.message(now, message.key)
+        self.records.absorb(now, told, sender, message.incarnation)
 
     @_receives(ClaimRecords)
     def _told_records(self, now: float, sender: str, message: ClaimRecords) -> None:
         if not message.acknowledge:
             self._acknowledged(now, sender, message.number)
             return
-        if message.revision and not self._may_hold(sender, message):
-            return
-        taken = [self.records.absorb(now, record) for record in message.records]
-        if message.revision and not all(taken):
-            self._count("claims.contradictions")
+        if not self.view.valid(sender, message.incarnation):
             return
         if not message.records:
-            self.view.healed(sender)
+            if message.remembers:
+                self.view.remember(sender, message.remembers)
+            self.view.declare(sender, message.revision)
+        elif not self._take_records(now, sender, message):
+            return
         reply = ClaimRecords(self._name, self.view.incarnation, message.number, ())
         self._effects.append(SendPeer(sender, reply))
 
-    def _may_hold(self, sender: str, message: ClaimRecords) -> bool:
-        """Tell whether a claim made under the sender's roster still counts."""
-        if message.revision < self.view.revision:
+    def _take_records(self, now: float, sender: str, message: ClaimRecords) -> bool:
+        """Hold a peer's records; False if they must not count as held."""
+        if 0 < message.revision < self.view.revision:
+            # Ownership may have moved since, and this agent may have told the
+            # new owner that it knows of no claim.
             self._count("claims.view_stale")
             return False
-        return self.view.valid(sender, message.incarnation)
+        taken = [
+            self.records.absorb(now, record, sender, message.incarnation)
+            for record in message.records
+        ]
+        if message.revision and not all(taken):
+            self._count("claims.contradictions")
+            return False
+        return True
 
     def _acknowledged(self, now: float, sender: str, number: int) -> None:
-        if number == self._heal_number:
-            self._healed_peers.add(sender)
+        if self._declared is not None and number == self._declared.number:
+            self._declared.acknowledged.add(sender)
             return
-        if self._handover is not None and self._handover.acknowledged(sender, number):
+        handover = self._handover
+        if handover is not None and handover.acknowledged(now, sender, number):
             return
         ask = self._asks_by_number.get(number)
         if ask is None or ask.partner != sender:
@@ -477,42 +524,51 @@
         if now - ask.first_sent_at >= GRANT_LIFETIME:
             self._ask_anew(now, ask)
             return
+        record = self.records.get(now, ask.key)
+        if record is not None:
+            record.other = sender
+            record.other_incarnation = self.view.incarnation_of(sender)
         self._conclude(now, ask)
 
-    # Being alone, and leaving
-
-    def _note_alone(self) -> None:
-        others = [name for name in self.view.ready if name != self._name]
-        if self._name in self.view.ready and not others:
-            self._was_alone = True
-        elif self._was_alone and others and self._handover is None:
-            self._was_alone = False
-            self._healed_peers.clear()
-            self._heal_number = self._next_number()
-            self._handover = self._new_handover()
-
-    def _heal(self, now: float) -> None:
-        """Tell peers, once it is true, that nothing is held here alone."""
-        if not self._heal_number or now < self._heal_at:
-            return
-        if self._handover is not None and not self._handover.done:
+    # Keeping two holders for each record
+
+    def _hand_over(self) -> None:
+        holders = 2 if self._leaving else 1
+        self._handover = Handover(self.view, self.records, self._next_number, holders)
+
+    def _declare(self, now: float) -> None:
+        """Tell the others once a handover is complete.
+
+        They may then disregard the losses that it made good.
+        """
+        handover = self._handover
+        if handover is not None and handover.done and handover.has_takers:
+            if self._remembers:
+                self.view.remember(self._name, self._remembers)
+            self.view.declare(self._name, handover.revision)
+            number = self._next_number()
+            self._declared = Declaration(number, handover.revision)
+            if not self._leaving:
+                self._handover = None
+        declared = self._declared
+        if declared is None or now - declared.sent_at < DECLARE_INTERVAL:
             return
-        self._heal_at = now + HEAL_INTERVAL
-        self.view.healed(self._name)
-        if not self._leaving:
-            self._handover = None
+        declared.sent_at = now
         message = ClaimRecords(
-            self._name, self.view.incarnation, self._heal_number, (), acknowledge=True
+            self._name,
+            self.view.incarnation,
+            declared.number,
+            (),
+            acknowledge=True,
+            revision=declared.revision,
+            remembers=self._remembers,
         )
         self._effects += [
             SendPeer(name, message)
-            for name in self.view.ready
-            if name != self._name and name not in self._healed_peers
+            for name in self.view.live
+            if name not in declared.acknowledged
         ]
 
-    def _new_handover(self) -> Handover:
-        return Handover(self.view, self.records, self._next_number)
-
     def _next_number(self) -> int:
         # Numbers of an earlier life must not match: its answers may be late.
         return (self.view.incarnation & 0xFFFFFFFF) << 32 | next(self._numbers)
--- a/packages/zinniahook-core/src/zinniahook_core/handovers.py
+++ b/packages/zinniahook-core/src/zinniahook_core/handovers.py
@@ -1,8 +1,9 @@
 """Records of claims on their way from one agent to its peers.
 
-A leaving agent hands over what it holds, so that two members still hold each
-claim after it has gone; an agent that was alone does so once it has a peer.
-Batches are repeated until acknowledged.
+Two members have to hold each claim. When one of them is lost the other copies
+the record to a third, an agent that was alone does so once it has a peer, and
+a leaving agent first sees to it that two others hold what it holds. Batches
+are repeated until acknowledged.
 """
 
 from __future__ import annotations
@@ -20,7 +21,10 @@
 
 BATCH_RECORDS = 8
 BATCH_BYTES = 1000
-BATCHES_IN_FLIGHT = 20
+BATCHES_IN_FLIGHT = 4
+"""Together with the tick, this bounds a handover to some 36 KB a second."""
+
+SORTED_PER_TICK = 1000
 REPEAT_AFTER = 0.3
 
 
@@ -44,15 +48,23 @@
         What is handed over; a record that changes is sent as it is then.
     next_number : callable
         Returns a fresh number for a batch.
+    holders : int
+        How many members besides this agent have to hold each record.
     """
 
     def __init__(
-        self, view: View, records: Records, next_number: Callable[[], int]
+        self,
+        view: View,
+        records: Records,
+        next_number: Callable[[], int],
+        holders: int = 1,
     ) -> None:
         self._view = view
         self._records = records
         self._next_number = next_number
-        self._waiting: deque[bytes] = deque(key for key, _ in records)
+        self._holders = holders
+        self.revision = view.revision
+        self._waiting: deque[bytes] = deque(records.newest_first())
         self._due_by_peer: dict[str, list[bytes]] = {}
         self._batches_by_number: dict[int, Batch] = {}
 
@@ -63,12 +75,22 @@
             return True
         return not (self._waiting or self._due_by_peer or self._batches_by_number)
 
-    def acknowledged(self, sender: str, number: int) -> bool:
+    @property
+    def has_takers(self) -> bool:
+        """Whether there is a ready member besides this agent."""
+        return bool(self._takers())
+
+    def acknowledged(self, now: float, sender: str, number: int) -> bool:
         """Note an acknowledgement; False if it isn't of this handover."""
         batch = self._batches_by_number.get(number)
         if batch is None or batch.peer != sender:
             return False
         del self._batches_by_number[number]
+        for key in batch.keys:
+            record = self._records.get(now, key)
+            if record is not None:
+                record.other = sender
+                record.other_incarnation = self._view.incarnation_of(sender)
         return True
 
     def send(self, now: float) -> list[SendPeer]:
@@ -96,7 +118,7 @@
             self._waiting.extend(self._due_by_peer.pop(peer))
 
     def _sort_out(self, now: float) -> None:
-        for _ in range(min(len(self._waiting), BATCHES_IN_FLIGHT * BATCH_RECORDS)):
+        for _ in range(min(len(self._waiting), SORTED_PER_TICK)):
             key = self._waiting.popleft()
             record = self._records.get(now, key)
             if record is None or self._is_unused(record):
@@ -110,14 +132,17 @@
         return own and record.state is ClaimState.GRANTED
 
     def _targets(self, key: bytes, record: Record) -> Iterable[str]:
-        """Return who has to take a record so that two members hold it."""
-        others = self._view.partners(key)
-        other_holder = record.runner != self._view.name and self._view.current(
-            record.runner, record.incarnation
+        """Return who has to take a record, so that enough members hold it."""
+        view = self._view
+        places = (
+            (record.runner, record.incarnation),
+            (record.other, record.other_incarnation),
         )
-        if other_holder:
-            return [name for name in others if name != record.runner][:1]
-        return others[:2]
+        holders = {name for name, number in places if view.current(name, number)}
+        holders.discard(view.name)
+        missing = max(0, self._holders - len(holders))
+        others = [name for name in view.partners(key) if name not in holders]
+        return others[:missing]
 
     def _send_to(self, now: float, peer: str) -> list[SendPeer]:
         effects = []
--- a/packages/zinniahook-core/src/zinniahook_core/lookups.py
+++ b/packages/zinniahook-core/src/zinniahook_core/lookups.py
@@ -9,16 +9,27 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from .messages import ClaimAnswer, ClaimAsk, ClaimIntent, ClaimState
 
-__all__ = ["Lookup", "Lookups", "REPEAT_AFTER"]
+__all__ = ["Finding", "Lookup", "Lookups", "REPEAT_AFTER"]
 
 REPEAT_AFTER = 0.2
+PATIENCE = 0.5
+"""How long a member may be silent before it counts as lost, in seconds."""
+
 LOOKUP_LIFETIME = 5.0
 LOOKUPS_LIMIT = 1024
 
 
+class Finding(NamedTuple):
+    """An answer to a LOOK and who gave it."""
+
+    name: str
+    answer: ClaimAnswer
+
+
 @dataclass(slots=True)
 class Lookup:
     """One key being looked up for one asker."""
@@ -30,38 +41,58 @@
     waiting: set[str]
     begun_at: float
     sent_at: float = field(default=0.0)
-    losses: int = 0
-    found: ClaimAnswer | None = None
+    answers_by_name: dict[str, ClaimAnswer] = field(default_factory=dict)
 
     @property
     def complete(self) -> bool:
         """Whether nothing more is to be learned."""
-        if not self.waiting:
-            return True
-        return self.found is not None and self.found.state in (
-            ClaimState.RUNNING,
-            ClaimState.FINISHED,
-        )
+        states = (answer.state for answer in self.answers_by_name.values())
+        return not self.waiting or ClaimState.FINISHED in states
+
+    @property
+    def losses(self) -> int:
+        """The most losses that any member knows of."""
+        counts = (answer.losses for answer in self.answers_by_name.values())
+        return max(counts, default=0)
 
     def take(self, sender: str, answer: ClaimAnswer) -> None:
         """Note one member's answer."""
-        if sender not in self.waiting:
-            return
-        self.waiting.discard(sender)
-        self.losses = max(self.losses, answer.losses)
-        if answer.state is ClaimState.NONE:
-            return
-        # FINISHED tells most; a refusal may be older than a run that it missed.
-        order = (
-            ClaimState.REFUSED,
-            ClaimState.UNKNOWN,
-            ClaimState.RUNNING,
-            ClaimState.FINISHED,
-        )
-        if self.found is None or order.index(answer.state) > order.index(
-            self.found.state
-        ):
-            self.found = answer
+        if sender in self.waiting:
+            self.waiting.discard(sender)
+            self.answers_by_name[sender] = answer
+
+    def finding(self) -> Finding | None:
+        """Return the answer that tells most, None if none tells anything."""
+        findings = [
+            Finding(name, answer) for name, answer in self.answers_by_name.items()
+        ]
+        best = max(findings, key=self._weight, default=None)
+        return best if best is not None and self._weight(best) else None
+
+    def _weight(self, finding: Finding) -> int:
+        """Return how much an answer tells.
+
+        What goes wrong without the order: a grant that was never used stays
+        at its owner, which is cut off; when it is back, its record must not
+        outdo what became of the key meanwhile. So the word of the runner
+        itself counts for more, also if it knows nothing of the grant.
+        """
+        name, answer = finding
+        if answer.state is ClaimState.RUNNING:
+            if answer.runner == name:
+                return 4
+            denied = answer.runner in (self.sender, *self.answers_by_name)
+            return 0 if denied else 2
+        return _WEIGHT_BY_STATE[answer.state]
+
+
+_WEIGHT_BY_STATE = {
+    ClaimState.FINISHED: 5,
+    ClaimState.UNKNOWN: 3,
+    ClaimState.REFUSED: 1,
+    ClaimState.NONE: 0,
+    ClaimState.GRANTED: 0,
+}
 
 
 class Lookups:
@@ -104,6 +135,18 @@
         """Forget every lookup: the roster that they were made under is old."""
         self._by_key.clear()
 
+    def overdue(self, now: float) -> list[Lookup]:
+        """Return the lookups whose silent members may be counted as lost."""
+        return [
+            lookup
+            for lookup in self._by_key.values()
+            if now - lookup.begun_at >= PATIENCE
+        ]
+
+    def end(self, lookup: Lookup) -> None:
+        """Forget a lookup that needs no more answers."""
+        self._by_key.pop(lookup.ask.key, None)
+
     def due(self, now: float) -> list[Lookup]:
         """Return the lookups to be repeated; overdue ones are dropped."""
         for key, lookup in list(self._by_key.items()):
--- a/packages/zinniahook-core/src/zinniahook_core/messages.py
+++ b/packages/zinniahook-core/src/zinniahook_core/messages.py
@@ -162,9 +162,11 @@
     """Claims that the receiver owns from now on, or keeps a copy of.
 
     With ``acknowledge`` the receiver sends the number back, without records
-    or ``acknowledge``. An empty batch to be acknowledged says that the sender
-    holds no record alone any more. ``revision`` is the sender's roster revision
-    if the records are claims made under it, 0 if they are past ones.
+    or ``acknowledge``. ``revision`` is the sender's roster revision if the
+    records are claims made under it, 0 if they are past ones. An empty batch
+    to be acknowledged declares that, as of ``revision``, the sender holds no
+    record alone, and that it kept all it had since its incarnation
+    ``remembers`` (0: it doesn't say).
     """
 
     sender: str
@@ -173,6 +175,7 @@
     records: tuple[ClaimRecord, ...]
     acknowledge: bool = False
     revision: int = 0
+    remembers: int = 0
 
 
 PeerMessage = (
--- a/packages/zinniahook-core/src/zinniahook_core/records.py
+++ b/packages/zinniahook-core/src/zinniahook_core/records.py
@@ -52,7 +52,9 @@
     """What is known of one key.
 
     ``at`` is when it was first recorded and ``until`` when it is forgotten,
-    in monotonic seconds.
+    in monotonic seconds. ``other`` is a member that holds the record too,
+    besides this agent and the runner. ``checked`` is the roster revision under
+    which this agent, as the owner, last made sure that it is right.
     """
 
     state: ClaimState
@@ -62,6 +64,9 @@
     at: float
     until: float
     answer: bytes = b""
+    other: str = ""
+    other_incarnation: int = 0
+    checked: int = 0
 
     @property
     def ran(self) -> bool:
@@ -121,6 +126,10 @@
     def __iter__(self) -> Iterator[tuple[bytes, Record]]:
         return iter(list(self._by_key.items()))
 
+    def newest_first(self) -> list[bytes]:
+        """Return all keys, the one recorded last first."""
+        return list(reversed(self._by_key))
+
     def get(self, now: float, key: bytes) -> Record | None:
         """Return the record of a key unless its time is over."""
         record = self._by_key.get(key)
@@ -148,8 +157,13 @@
             del self._answered[key]
             self.answer_bytes -= len(record.answer)
 
-    def absorb(self, now: float, message: ClaimRecord) -> bool:
-        """Take a record from a peer; False if it contradicts one held here."""
+    def absorb(
+        self, now: float, message: ClaimRecord, sender: str, incarnation: int
+    ) -> bool:
+        """Take a record from a peer; False if it contradicts one held here.
+
+        ``incarnation`` is the sender's, who holds the record too.
+        """
         known = self.get(now, message.key)
         if known is not None and not _supersedes(known, message):
             refusals = not known.ran and message.state is ClaimState.REFUSED
@@ -163,6 +177,8 @@
             at,
             at + _lifetime(message.state, message.attempt),
             message.answer,
+            sender,
+            incarnation,
         )
         self.put(now, message.key, record)
         return True
--- a/packages/zinniahook-core/src/zinniahook_core/requests.py
+++ b/packages/zinniahook-core/src/zinniahook_core/requests.py
@@ -105,6 +105,7 @@
 
     event: RequestArrived
     deadline: float
+    attempt: int = 0
     stage: Stage = Stage.NEW
     since: float = 0.0
     refusal: Decision | None = None
@@ -189,11 +190,20 @@
         effects, self._effects = self._effects, []
         return effects
 
+    def confirm(self, now: float, incarnation: int) -> None:
+        """Note that the roster holds this very process under ``incarnation``.
+
+        Nothing is claimed before. To be called again after ``restart``; a call
+        while it is confirmed has no effect.
+        """
+        self.claims.confirm(now, incarnation)
+
     def restart(self, now: float, incarnation: int) -> list[AgentEffect]:
         """Fence this agent: drop what waits, cancel what runs without a claim.
 
-        A claimed request that runs at the target goes on there; its record
-        says unknown until the target ends it.
+        ``incarnation`` is the next one, to be confirmed. A claimed request
+        that runs at the target goes on there; its record says unknown until
+        the target ends it.
         """
         for item in list(self._open_by_request.values()):
             if item.stage is Stage.RUNNING and item.claimed:
@@ -206,7 +216,7 @@
         self._open_by_request.clear()
         self._leader_by_key.clear()
         self._ready_since = None
-        self.claims.restart(now, incarnation)
+        self.claims.restart(now)
         effects, self._effects = self._effects, []
         return effects
 
@@ -266,7 +276,7 @@
         deadline = now + rule.deadline
         if event.deadline > 0:
             deadline = min(deadline, event.deadline)
-        item = Open(event, deadline, since=now)
+        item = Open(event, deadline, event.attempt, since=now)
         self._open_by_request[event.request] = item
         if item.claimed and self._follow(now, item):
             return
@@ -368,15 +378,7 @@
             self._effects.append(Run(item.number))
             return
         item.stage = Stage.CLAIMING
-        event = item.event
-        self.claims.begin(
-            now,
-            event.request,
-            event.key,
-            event.attempt,
-            ClaimIntent.RUN,
-            item.deadline,
-        )
+        self._claim(now, item, ClaimIntent.RUN, item.deadline)
 
     def _park(self, now: float, item: Open) -> None:
         # What goes wrong: a claim owner has died, and until it is marked down
@@ -396,18 +398,10 @@
         # Without a tombstone a late copy of this request could still run
         # after its caller was told that it hasn't.
         item.stage = Stage.REFUSING
-        event = item.event
-        if not event.attempt:
+        if not item.attempt:
             retry_after = max(refusal.retry_after, UNNUMBERED_LIFETIME)
             item.refusal = replace(refusal, retry_after=retry_after)
-        self.claims.begin(
-            now,
-            event.request,
-            event.key,
-            event.attempt,
-            ClaimIntent.REFUSE,
-            now + REFUSE_WAIT,
-        )
+        self._claim(now, item, ClaimIntent.REFUSE, now + REFUSE_WAIT)
 
     def _follow(self, now: float, item: Open) -> bool:
         """Join the copy of this request that is open here already."""
@@ -416,6 +410,7 @@
         if leader is not None:
             leader.followers.append(item.number)
             item.stage = Stage.JOINED
+            self._raise_attempt(now, leader, item.attempt)
             if leader.stage in (Stage.RUNNING, Stage.RELAYED):
                 self._effects.append(JoinRequest(item.number, leader.number))
             return True
@@ -433,6 +428,24 @@
         if leader is not None and item.number in leader.followers:
             leader.followers.remove(item.number)
 
+    def _raise_attempt(self, now: float, leader: Open, attempt: int) -> None:
+        """Let a leader stand for a later attempt of its request as well.
+
+        What goes wrong otherwise: the tombstone names the leader's attempt, a
+        follower of a later one is told "not run", and a copy of that runs.
+        """
+        if attempt <= leader.attempt:
+            return
+        leader.attempt = attempt
+        if leader.stage in (Stage.CLAIMING, Stage.PARKED):
+            self._claim(now, leader, ClaimIntent.RUN, leader.deadline)
+        elif leader.stage is Stage.REFUSING:
+            self._claim(now, leader, ClaimIntent.REFUSE, now + REFUSE_WAIT)
+
+    def _claim(self, now: float, item: Open, intent: ClaimIntent, until: float) -> None:
+        key = item.event.key
+        self.claims.begin(now, item.number, key, item.attempt, intent, until)
+
     def _promote(self, now: float, followers: list[int]) -> None:
         items = [self._open_by_request.pop(number) for number in followers]
         for item in items:
--- a/packages/zinniahook-core/src/zinniahook_core/views.py
+++ b/packages/zinniahook-core/src/zinniahook_core/views.py
@@ -2,13 +2,14 @@
 
 The owner of a claim is the best ready member for its key. When ownership
 moves, the new owner has no records, so it has to know whether an older claim
-may exist (``fresh``) and how many holders of records may have died with them
-(``losses``).
+may exist (``fresh``) and how many members may have died with all records of
+one (``losses``).
 """
 
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from .models import AgentState, Member, Roster
@@ -20,14 +21,35 @@
 HOLDING_STATES = (AgentState.READY, AgentState.LEAVING)
 
 
-class Loss(NamedTuple):
-    """A member left the roster without a graceful leave.
+@dataclass(slots=True)
+class Loss:
+    """A member has gone without a graceful leave.
 
-    ``alone_at`` is when it last was the only member to hold claims.
+    ``repairing`` are the members that haven't yet declared that they copied
+    again what they held together with it, ``gone`` those (by name and
+    incarnation) that were lost before they did: no copying makes that good.
     """
 
+    name: str
+    incarnation: int
     at: float
+    revision: int
     alone_at: float
+    repairing: set[str]
+    gone: set[tuple[str, int]] = field(default_factory=set)
+
+    @property
+    def repaired(self) -> bool:
+        """Whether every record that survived has two holders again."""
+        was_alone = self.alone_at > -math.inf
+        return not (self.repairing or self.gone or was_alone)
+
+
+class Alone(NamedTuple):
+    """When and under which revision a member was last seen alone."""
+
+    at: float
+    revision: int
 
 
 class View:
@@ -49,7 +71,8 @@
         self._since = math.inf
         self._seen_by_name: dict[str, float] = {}
         self._losses: list[Loss] = []
-        self._sole_by_name: dict[str, float] = {}
+        self._alone_by_name: dict[str, Alone] = {}
+        self._declared_by_name: dict[str, int] = {}
 
     def learn(self, now: float, roster: Roster) -> bool:
         """Take a roster; False if it isn't newer than the one held."""
@@ -60,22 +83,18 @@
         self._note_alone(now)
         former, self.members_by_name = self.members_by_name, dict(roster.by_name)
         self.revision = roster.revision
-        self._note_losses(now, former)
         self.ready = self._names(AgentState.READY)
         live = self._names(*HOLDING_STATES)
         self.live = tuple(name for name in live if name != self.name)
+        self._note_alone(now)
+        self._note_losses(now, former)
         others = (name for name in self.members_by_name if name != self.name)
         self._seen_by_name.update(dict.fromkeys(others, now))
-        self._note_alone(now)
         self._trim(now)
-        own = self.members_by_name.get(self.name)
-        if own is not None and own.incarnation > self.incarnation:
-            self.incarnation = own.incarnation
         return True
 
-    def restart(self, now: float, incarnation: int) -> None:
+    def restart(self, now: float) -> None:
         """Start again: what happened during a pause is unknown."""
-        self.incarnation = incarnation
         self._since = now
 
     def owner(self, key: bytes) -> str | None:
@@ -88,6 +107,11 @@
         """Return the other ready members, best first."""
         return rank(key, (name for name in self.ready if name != self.name))
 
+    def incarnation_of(self, name: str) -> int:
+        """Return a member's incarnation, 0 if there is no such member."""
+        member = self.members_by_name.get(name)
+        return member.incarnation if member else 0
+
     def current(self, name: str, incarnation: int) -> bool:
         """Tell whether a member lives and still has this incarnation."""
         member = self.members_by_name.get(name)
@@ -126,13 +150,41 @@
         Two members hold each claim, so one loss hides none. A member that
         was alone held its claims by itself, so its loss counts twice.
         """
-        recent = [loss for loss in self._losses if now - loss.at < window]
-        return sum(2 if now - loss.alone_at < window else 1 for loss in recent)
+        return sum(
+            2 if now - loss.alone_at < window else 1
+            for loss in self._losses
+            if now - loss.at < window and not loss.repaired
+        )
+
+    def declare(self, name: str, revision: int) -> None:
+        """Note that all that ``name`` holds had two holders at ``revision``.
 
-    def healed(self, name: str) -> None:
-        """Note that ``name`` holds no record alone any more."""
-        if len(self.ready) > 1:
-            self._sole_by_name.pop(name, None)
+        Holders that were lost after that revision aside.
+        """
+        known = self._declared_by_name.get(name, 0)
+        self._declared_by_name[name] = max(known, revision)
+        for loss in self._losses:
+            if revision >= loss.revision:
+                loss.repairing.discard(name)
+        alone = self._alone_by_name.get(name)
+        if alone is not None and revision > alone.revision:
+            del self._alone_by_name[name]
+
+    def remember(self, name: str, since: int) -> None:
+        """Note that ``name`` kept its records from incarnation ``since`` on.
+
+        It was paused or cut off, not dead, so its losses since are none.
+        """
+        self._losses = [
+            loss
+            for loss in self._losses
+            if loss.name != name or loss.incarnation < since
+        ]
+        for loss in self._losses:
+            back = {gone for gone in loss.gone if gone[0] == name and gone[1] >= since}
+            if back:
+                loss.gone -= back
+                loss.repairing.add(name)
 
     def _names(self, *states: AgentState) -> tuple[str, ...]:
         return tuple(
@@ -144,31 +196,55 @@
     def _note_alone(self, now: float) -> None:
         alone = self.ready or self._names(*HOLDING_STATES)
         if len(alone) == 1 or not self.ready:
-            self._sole_by_name.update(dict.fromkeys(alone, now))
+            seen = Alone(now, self.revision)
+            self._alone_by_name.update(dict.fromkeys(alone, seen))
 
     def _note_losses(self, now: float, former: dict[str, Member]) -> None:
-        first = not former
-        for name, member in (self.members_by_name if first else former).items():
-            if self._is_lost(name, member, first):
-                alone_at = self._sole_by_name.get(name, -math.inf)
-                self._losses.append(Loss(now, alone_at))
-
-    def _is_lost(self, name: str, member: Member, first: bool) -> bool:
-        if first:
-            return member.state is AgentState.DOWN
+        lost = {name for name, member in former.items() if self._is_lost(member)}
+        left = {name for name in former if name not in self.members_by_name} - lost
+        for loss in self._losses:
+            loss.repairing -= left
+        if not lost:
+            return
+        ids = {(name, former[name].incarnation) for name in lost}
+        # One that is lost while it still had to copy what it held with an
+        # earlier loss takes the last copy along: both losses stay.
+        cut_short = {
+            (loss.name, loss.incarnation)
+            for loss in self._losses
+            if loss.repairing & lost
+        }
+        for loss in self._losses:
+            loss.gone |= {entry for entry in ids if entry[0] in loss.repairing}
+            loss.repairing -= lost
+        for name, incarnation in ids:
+            alone = self._alone_by_name.get(name, Alone(-math.inf, 0))
+            gone = (ids | cut_short) - {(name, incarnation)}
+            repairing = {*self.live, self.name} - lost
+            loss = Loss(
+                name, incarnation, now, self.revision, alone.at, repairing, gone
+            )
+            self._losses.append(loss)
+        for name, revision in self._declared_by_name.items():
+            if revision >= self.revision:
+                self.declare(name, revision)
+
+    def _is_lost(self, member: Member) -> bool:
         if member.state not in HOLDING_STATES:
             return False
-        new = self.members_by_name.get(name)
+        new = self.members_by_name.get(member.name)
         if new is None:
             return member.state is AgentState.READY
         return new.state is AgentState.DOWN or new.incarnation != member.incarnation
 
     def _trim(self, now: float) -> None:
         oldest = now - 2 * KEY_LIFETIME
-        self._losses = [entry for entry in self._losses if entry.at > oldest]
+        self._losses = [loss for loss in self._losses if loss.at > oldest]
         self._seen_by_name = {
             name: at for name, at in self._seen_by_name.items() if at > oldest
         }
-        self._sole_by_name = {
-            name: at for name, at in self._sole_by_name.items() if at > oldest
+        self._alone_by_name = {
+            name: alone
+            for name, alone in self._alone_by_name.items()
+            if alone.at > oldest
         }
--- a/packages/zinniahook-wire/src/zinniahook_wire/peers.py
+++ b/packages/zinniahook-wire/src/zinniahook_wire/peers.py
@@ -228,6 +228,7 @@
         ],
         acknowledge=message.acknowledge,
         revision=message.revision,
+        remembers=message.remembers,
     )
 
 
@@ -240,6 +241,7 @@
         tuple(_decode_record(record) for record in message.records),
         message.acknowledge,
         message.revision,
+        message.remembers,
     )
 
 
--- a/packages/zinniahook-wire/tests/test_peers.py
+++ b/packages/zinniahook-wire/tests/test_peers.py
@@ -80,6 +80,7 @@
         ).map(tuple),
         st.booleans(),
         numbers,
+        numbers,
     ),
 }
 
