testkit: give a target one port for HTTP and UDP, and let the demo warm up

A demo run ended as the UDP port of a target's number belonged to another process; another port is tried then. The demo's latencies held the slow start of fresh targets (p90 413 ms in the first second, 185 ms from the fourth on); it now waits first.

--- a/packages/zinniahook-testkit/src/zinniahook_testkit/demo.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/demo.py
@@ -27,6 +27,9 @@
 
 __all__ = ["Report", "main", "run"]
 
+WARMING = 6.0
+"""Seconds before the load: fresh targets are given little work at first."""
+
 SETTLED = 3.0
 """Seconds of load before anything happens."""
 
@@ -69,6 +72,7 @@
     """
     began = time.monotonic()
     async with Cluster(deployment, folder, seed) as cluster:
+        await asyncio.sleep(WARMING)
         loads = [
             await cluster.run_loads([service.name]) for service in deployment.services
         ]
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/target.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/target.py
@@ -34,6 +34,8 @@
 MAX_DATAGRAM = 65535
 MAX_BODY = 1 << 20
 LAG_KEPT = 256
+BIND_ATTEMPTS = 20
+LOOPBACK = "127.0.0.1"
 
 
 class TargetSettings(TypedDict, total=False):
@@ -435,6 +437,23 @@
     )
 
 
+def _bind_both() -> tuple[socket.socket, socket.socket]:
+    """Return a listening TCP socket and a UDP socket on the same port."""
+    for _ in range(BIND_ATTEMPTS):
+        (public,) = bind_sockets(0, LOOPBACK, socket.AF_INET)
+        counter = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        counter.setblocking(False)
+        try:
+            counter.bind(public.getsockname())
+        except OSError:
+            # Another process got the UDP port of that number: try the next.
+            public.close()
+            counter.close()
+            continue
+        return public, counter
+    raise OSError("no port is free for both TCP and UDP")
+
+
 async def serve(settings: TargetSettings) -> None:
     """Run a target until SIGTERM or SIGINT."""
     target = Target(
@@ -444,24 +463,22 @@
         random.Random(settings.get("seed", 0)),
         **settings.get("behaviour", {}),
     )
-    public = bind_sockets(0, "127.0.0.1", socket.AF_INET)
-    HTTPServer(application(target), max_body_size=MAX_BODY).add_sockets(public)
-    admin = bind_sockets(0, "127.0.0.1", socket.AF_INET)
+    public, counter = _bind_both()
+    HTTPServer(application(target), max_body_size=MAX_BODY).add_sockets([public])
+    admin = bind_sockets(0, LOOPBACK, socket.AF_INET)
     routes = [(r"/([a-z-]+)", AdminHandler, {"target": target})]
     HTTPServer(
         tornado.web.Application(routes, log_function=lambda handler: None)
     ).add_sockets(admin)
     loop = asyncio.get_running_loop()
-    udp, _ = await loop.create_datagram_endpoint(
-        lambda: UdpCounter(target), public[0].getsockname()[:2]
-    )
+    await loop.create_datagram_endpoint(lambda: UdpCounter(target), sock=counter)
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
     ready = {
-        "target": "{}:{}".format(*public[0].getsockname()),
+        "target": "{}:{}".format(*public.getsockname()),
         "admin": "{}:{}".format(*admin[0].getsockname()),
-        "udp": "{}:{}".format(*udp.get_extra_info("sockname")),
+        "udp": "{}:{}".format(*counter.getsockname()),
     }
     print(json.dumps({"ready": ready}), flush=True)
     await stopped.wait()
