Ask callers for a proof of their address when openings pile up

512 openings with forged addresses kept every true caller out for ten seconds. From 64 handshakes in progress an opening is answered with a Retry that costs no state; its token is good at every agent under the same flow key, as an opening may be handed on.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/connections.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/connections.py
@@ -83,9 +83,23 @@
     def __iter__(self) -> Iterator[ServerConnection]:
         return iter(list(self.by_number.values()))
 
-    def open(self, flow: bytes) -> ServerConnection | None:
+    @property
+    def handshakes(self) -> int:
+        """How many connections are in their handshake."""
+        return len(self._handshaking)
+
+    def open(
+        self, flow: bytes, original: bytes = b"", retry_source: bytes | None = None
+    ) -> ServerConnection | None:
         """Make the connection of an opening.
 
+        Parameters
+        ----------
+        flow : bytes
+            Its destination connection id.
+        original, retry_source : bytes
+            After a Retry: the first id of all, and that of the Retry.
+
         Returns
         -------
         ServerConnection or None
@@ -93,7 +107,9 @@
         """
         if len(self._handshaking) >= HANDSHAKES:
             return None
-        connection = ServerConnection(self.configuration, flow, self._issue)
+        connection = ServerConnection(
+            self.configuration, flow, self._issue, original, retry_source
+        )
         connection.number = next(self._numbers)
         connection.opened_at = self._loop.time()
         connection.session = self._begin(connection)
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/openings.py
@@ -0,0 +1,174 @@
+"""What a caller's first datagram may open, and what is answered without it."""
+
+from __future__ import annotations
+
+import hashlib
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from aioquic.buffer import Buffer
+from aioquic.quic.packet import (
+    QuicHeader,
+    QuicPacketType,
+    encode_quic_retry,
+    encode_quic_version_negotiation,
+    pull_quic_header,
+)
+from aioquic.quic.retry import QuicRetryTokenHandler
+from cryptography.hazmat.primitives.ciphers.aead import AESGCM
+from zinniahook_core.codes import Code
+from zinniahook_core.models import Address, Key
+from zinniahook_core.routing import CONNECTION_ID_LENGTH
+
+__all__ = ["Opening", "Openings", "RetryTokens"]
+
+INITIAL_SIZE = 1200
+"""Least size of a datagram that may open a connection."""
+
+RETRY_FROM = 64
+"""Handshakes in progress from which a caller has to show its address first."""
+
+TOKEN_KEY_SIZE = 16
+
+
+class Opening(NamedTuple):
+    """A first datagram that may open a connection.
+
+    ``flow`` is its destination connection id. After a Retry ``original`` is
+    the one before it, and ``retry_source`` is ``flow``.
+    """
+
+    flow: bytes
+    original: bytes
+    retry_source: bytes | None = None
+
+
+class RetryTokens(QuicRetryTokenHandler):
+    """Retry tokens that every agent under the same key accepts.
+
+    An opening may be handed to a peer after its caller was asked to retry,
+    so a key of one process alone, as aioquic draws it, will not do.
+
+    Parameters
+    ----------
+    key : Key
+        A flow key of the configuration.
+    """
+
+    def __init__(self, key: Key) -> None:
+        secret = hashlib.blake2b(
+            b"retry", key=key.secret, digest_size=TOKEN_KEY_SIZE
+        ).digest()
+        self._aead = AESGCM(secret)
+
+
+class Openings:
+    """Checks first datagrams, without any state of a caller.
+
+    Parameters
+    ----------
+    versions : list of int
+        QUIC versions that are spoken.
+    issue : callable
+        Draws a connection id that leads back to this agent.
+    answer : callable
+        Sends a datagram to a caller's address.
+    """
+
+    def __init__(
+        self,
+        versions: list[int],
+        issue: Callable[[], bytes],
+        answer: Callable[[bytes, Address], None],
+    ) -> None:
+        self.tokens: RetryTokens | None = None
+        self._versions = versions
+        self._issue = issue
+        self._answer = answer
+
+    def check(
+        self, payload: bytes, caller: Address, handshakes: int, handed: bool
+    ) -> Opening | Code:
+        """Tell what a datagram without a connection opens.
+
+        Parameters
+        ----------
+        payload : bytes
+            The datagram; its header is long.
+        caller : Address
+            Where it came from.
+        handshakes : int
+            How many handshakes are in progress here.
+        handed : bool
+            A peer has already taken this opening on.
+
+        Returns
+        -------
+        Opening or Code
+            A code if it opens nothing, now or ever.
+        """
+        if len(payload) < INITIAL_SIZE:
+            return Code.CONNECTION_ID_UNKNOWN
+        try:
+            buffer = Buffer(data=payload)
+            header = pull_quic_header(buffer, host_cid_length=CONNECTION_ID_LENGTH)
+        except ValueError:
+            return Code.DATAGRAM_MALFORMED
+        if header.version not in self._versions:
+            self._negotiate(header, caller)
+            return Code.DATAGRAM_MALFORMED
+        if header.packet_type is not QuicPacketType.INITIAL:
+            return Code.CONNECTION_ID_UNKNOWN
+        if header.token:
+            return self._returned(header, caller)
+        if handshakes >= RETRY_FROM and not handed and self.tokens is not None:
+            self._retry(header, caller)
+            return Code.FLOW_LIMIT
+        return Opening(header.destination_cid, header.destination_cid)
+
+    def _negotiate(self, header: QuicHeader, caller: Address) -> None:
+        # Version 0 is itself a negotiation; answering it could go on for ever
+        # between two servers.
+        if not header.version:
+            return
+        answer = encode_quic_version_negotiation(
+            source_cid=header.destination_cid,
+            destination_cid=header.source_cid,
+            supported_versions=self._versions,
+        )
+        self._answer(answer, caller)
+
+    def _retry(self, header: QuicHeader, caller: Address) -> None:
+        # Openings with forged addresses would otherwise fill the handshakes
+        # and keep true callers out. A token costs no memory here, and only
+        # who gets the Retry can return it.
+        source = self._issue()
+        token = self.tokens.create_token(
+            address=caller,
+            original_destination_connection_id=header.destination_cid,
+            retry_source_connection_id=source,
+            now=time.time(),
+        )
+        answer = encode_quic_retry(
+            version=header.version,
+            source_cid=source,
+            destination_cid=header.source_cid,
+            original_destination_cid=header.destination_cid,
+            retry_token=token,
+        )
+        self._answer(answer, caller)
+
+    def _returned(self, header: QuicHeader, caller: Address) -> Opening | Code:
+        if self.tokens is None:
+            return Code.NOT_READY
+        try:
+            original = self.tokens.validate_token(
+                address=caller,
+                destination_cid=header.destination_cid,
+                token=header.token,
+                now=time.time(),
+            )
+        except ValueError:
+            return Code.CONNECTION_ID_UNKNOWN
+        return Opening(header.destination_cid, original, header.destination_cid)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/quic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/quic.py
@@ -160,6 +160,8 @@
         The caller's first destination connection id.
     issue : callable
         Draws a new connection id and registers it for this connection.
+    original, retry_source : bytes
+        After a Retry: the first id of all, and that of the Retry.
     """
 
     def __init__(
@@ -167,9 +169,13 @@
         configuration: QuicConfiguration,
         flow: bytes,
         issue: Callable[[ServerConnection], bytes],
+        original: bytes = b"",
+        retry_source: bytes | None = None,
     ) -> None:
         super().__init__(
-            configuration=configuration, original_destination_connection_id=flow
+            configuration=configuration,
+            original_destination_connection_id=original or flow,
+            retry_source_connection_id=retry_source,
         )
         self.flow = flow
         self.number = 0
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
@@ -5,29 +5,19 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from aioquic.buffer import Buffer
 from aioquic.h3.connection import ErrorCode
-from aioquic.quic.packet import (
-    QuicPacketType,
-    encode_quic_version_negotiation,
-    pull_quic_header,
-)
 from zinniahook_core import effects as todo
 from zinniahook_core.codes import Code
 from zinniahook_core.events import FlowDatagram, FlowOpening, PeerDatagram
 from zinniahook_core.models import Address, Configuration, Protocol
 from zinniahook_core.paths import Paths
-from zinniahook_core.routing import (
-    CONNECTION_ID_LENGTH,
-    ConnectionIds,
-    Owner,
-    destination_of,
-)
+from zinniahook_core.routing import ConnectionIds, Owner, destination_of
 from zinniahook_wire import peers
 from zinniahook_wire.tunnels import NO_ADDRESS, TunnelDatagram, TunnelKind
 
 from .connections import Connections
 from .http3 import Http3Session
+from .openings import Opening, Openings, RetryTokens
 from .quic import ServerConnection, make_configuration
 from .udpflows import UdpFlows
 
@@ -36,9 +26,6 @@
 
 __all__ = ["Traffic"]
 
-INITIAL_SIZE = 1200
-"""Least size of a datagram that may open a connection."""
-
 Handler = Callable[["Traffic", Any], None]
 
 _HANDLERS_BY_EFFECT: dict[type, Handler] = {}
@@ -71,6 +58,7 @@
         self._paths = Paths(agent.rng)
         self._restarting = False
         self._opening: TunnelDatagram | None = None
+        self._opened: Opening | None = None
         self.flows = UdpFlows(settings.target, self._answer_flow)
         self.connections = Connections(
             make_configuration(settings.certificate, settings.key),
@@ -80,6 +68,11 @@
             self._closed,
             self._switch,
         )
+        self.openings = Openings(
+            self.connections.configuration.supported_versions,
+            self._issue,
+            self._answer_opening,
+        )
         agent.node.on_tunnel(self._receive)
 
     def configure(self, configuration: Configuration) -> None:
@@ -87,6 +80,8 @@
         self._ids = ConnectionIds(
             configuration.flow_keys_by_number, configuration.flow_key, self.agent.rng
         )
+        key = configuration.flow_keys_by_number[configuration.flow_key]
+        self.openings.tokens = RetryTokens(key)
 
     def reload(self) -> None:
         """Read the certificate again, for new connections."""
@@ -222,8 +217,8 @@
             self.connections.receive(
                 connection, datagram.payload, datagram.caller, datagram.entry
             )
-        elif is_long and self._may_open(datagram):
-            self._open(connection_id, datagram, handed_by)
+        elif is_long:
+            self._open(datagram, handed_by)
         else:
             self._drop(Code.CONNECTION_ID_UNKNOWN)
 
@@ -236,43 +231,33 @@
         self._paths.heard(now, entry, connection.flow)
         connection.entry = self._paths.for_flow(now, connection.flow) or entry
 
-    def _may_open(self, datagram: TunnelDatagram) -> bool:
-        """Tell whether a datagram without a connection is an opening."""
-        payload = datagram.payload
-        if len(payload) < INITIAL_SIZE:
-            return False
-        try:
-            buffer = Buffer(data=payload)
-            header = pull_quic_header(buffer, host_cid_length=CONNECTION_ID_LENGTH)
-        except ValueError:
-            return False
-        versions = self.connections.configuration.supported_versions
-        if header.version in versions:
-            return header.packet_type is QuicPacketType.INITIAL
-        if header.version:
-            answer = encode_quic_version_negotiation(
-                source_cid=header.destination_cid,
-                destination_cid=header.source_cid,
-                supported_versions=versions,
-            )
-            self._to_caller(datagram.caller, datagram.entry, answer)
-        return False
-
-    def _open(self, flow: bytes, datagram: TunnelDatagram, handed_by: str) -> None:
-        # The core answers an opening in the same call, so one is enough.
+    def _open(self, datagram: TunnelDatagram, handed_by: str) -> None:
         self._opening = datagram
+        opening = self.openings.check(
+            datagram.payload,
+            datagram.caller,
+            self.connections.handshakes,
+            bool(handed_by),
+        )
+        if isinstance(opening, Code):
+            self._drop(opening)
+            return
+        # The core answers an opening in the same call, so one is enough.
+        self._opened = opening
         service = self.agent.service.name
-        self.agent.feed(FlowOpening(service, flow, datagram.caller, handed_by))
-        self._opening = None
+        self.agent.feed(FlowOpening(service, opening.flow, datagram.caller, handed_by))
+
+    def _answer_opening(self, payload: bytes, caller: Address) -> None:
+        self._to_caller(caller, self._opening.entry, payload)
 
     # Effects
 
     @_executes(todo.AcceptFlow)
     def _accept(self, effect: todo.AcceptFlow) -> None:
-        datagram = self._opening
-        if datagram is None:
+        datagram, opening = self._opening, self._opened
+        if opening is None or opening.flow != effect.flow:
             return
-        connection = self.connections.open(effect.flow)
+        connection = self.connections.open(*opening)
         if connection is None:
             self._drop(Code.FLOW_LIMIT)
             self.agent.closed(effect.flow)
@@ -285,7 +270,7 @@
     @_executes(todo.HandOver)
     def _hand_over(self, effect: todo.HandOver) -> None:
         datagram = self._opening
-        if datagram is None:
+        if self._opened is None or self._opened.flow != effect.flow:
             return
         hops = datagram.hops + 1
         self._forward(effect.peer, datagram._replace(hops=hops, handed=True))
--- a/packages/zinniahook-daemon/tests/test_connections.py
+++ b/packages/zinniahook-daemon/tests/test_connections.py
@@ -13,9 +13,11 @@
 from aioquic.quic import events
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
+from zinniahook_core.codes import Code
 from zinniahook_core.models import Address, Key
 from zinniahook_core.routing import ConnectionIds, Owner, destination_of
 from zinniahook_daemon.connections import Connections
+from zinniahook_daemon.openings import RETRY_FROM, Opening, Openings, RetryTokens
 from zinniahook_daemon.quic import (
     STREAM_WINDOW,
     PacketWindow,
@@ -88,6 +90,14 @@
         self.received_by_address: dict[Address, int] = {}
         self.destinations: set[bytes] = set()
         self.silent = False
+        self.handshakes = 0
+        self.openings = Openings(
+            configuration.supported_versions,
+            lambda: self.ids.encode(OWNER),
+            self.answer,
+        )
+        self.openings.tokens = RetryTokens(key)
+        self.refusals: list[Code] = []
         self.closed: list[ServerConnection] = []
         self.unanswered: list[ServerConnection] = []
         self._moved = asyncio.Event()
@@ -116,12 +126,19 @@
         self.destinations.add(connection_id)
         connection = self.connections.by_id.get(connection_id)
         if connection is None:
-            connection = self.connections.open(connection_id)
+            opening = self.openings.check(datagram, source, self.handshakes, False)
+            if isinstance(opening, Code):
+                self.refusals.append(opening)
+                return
+            connection = self.connections.open(*opening)
         self.connections.receive(connection, datagram, source, ENTRY)
 
     def to_caller(
         self, connection: ServerConnection, datagram: bytes, address: Address
     ) -> None:
+        self.answer(datagram, address)
+
+    def answer(self, datagram: bytes, address: Address) -> None:
         size = self.sent_by_address.get(address, 0) + len(datagram)
         self.sent_by_address[address] = size
         self._moved.set()
@@ -276,6 +293,73 @@
         run(configuration, scenario)
 
 
+class TestOpenings:
+    def test_a_busy_agent_asks_for_a_proof_of_the_address(self, configuration):
+        """Openings with forged addresses keep true callers out.
+
+        Symptom: new callers get no answer for seconds. Sequence: many
+        openings that are never gone on with, then one of a true caller.
+        Cause: each holds a place among the handshakes until it times out.
+        """
+
+        async def scenario(link: Link) -> None:
+            link.handshakes = RETRY_FROM
+            _, connection = await link.connect()
+            assert set(link.refusals) == {Code.FLOW_LIMIT}
+            assert connection.flow != connection.original_destination_connection_id
+
+        run(configuration, scenario)
+
+    def test_a_token_serves_its_own_address_only(self, configuration):
+        async def scenario(link: Link) -> None:
+            link.handshakes = RETRY_FROM
+            sent: list[bytes] = []
+            deliver = link.to_agent
+
+            def keep(datagram: bytes, source: Address) -> None:
+                sent.append(datagram)
+                deliver(datagram, source)
+
+            link.to_agent = keep
+            caller, _ = await link.connect()
+            check = link.openings.check
+            thief = Address("127.0.0.9", 5001)
+            opened = [check(datagram, caller.address, 0, False) for datagram in sent]
+            assert sum(isinstance(each, Opening) for each in opened) >= 1
+            (returned,) = {each for each in opened if getattr(each, "retry_source", 0)}
+            with_token = sent[opened.index(returned)]
+            assert check(with_token, thief, 0, False) is Code.CONNECTION_ID_UNKNOWN
+
+        run(configuration, scenario)
+
+    def test_an_unknown_version_is_told_ours(self, configuration):
+        async def scenario(link: Link) -> None:
+            answers: list[bytes] = []
+            link.openings._answer = lambda data, _: answers.append(data)
+            body = b"\xc0\x1a\x2a\x3a\x4a\x08" + bytes(8) + b"\x08" + bytes(8)
+            source = Address("127.0.0.9", 1)
+            check = link.openings.check
+            assert check(body.ljust(1200), source, 0, False) is Code.DATAGRAM_MALFORMED
+            (answer,) = answers
+            assert answer[1:5] == bytes(4)
+            assert (1).to_bytes(4, "big") in answer
+            assert check(body, source, 0, False) is Code.CONNECTION_ID_UNKNOWN
+            assert check(answer.ljust(1200), source, 0, False) is not None
+            assert len(answers) == 1
+
+        run(configuration, scenario)
+
+    def test_random_datagrams_open_nothing(self, configuration):
+        async def scenario(link: Link) -> None:
+            rng = random.Random(8)
+            for _ in range(300):
+                data = bytes([rng.randrange(0x80, 0x100)]) + rng.randbytes(1250)
+                opening = link.openings.check(data, ENTRY, rng.choice((0, 99)), False)
+                assert isinstance(opening, Code)
+
+        run(configuration, scenario)
+
+
 class TestStreamWindow:
     def test_a_stream_that_nobody_reads_stops(self, configuration):
         """A caller sends a body faster than the target takes it.
