Bound requests that run past their deadline; split the open requests off

Cause: a target that hangs held its slots for good, and two agents that relayed their copies of one request to each other waited for ever. Change: past the caller's deadline a request is cancelled, a claimed one after ten more seconds; a relayed copy never joins a relayed one.

--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/opens.py
@@ -0,0 +1,117 @@
+"""Requests that have no final answer yet, and the copies that wait with them."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from .admission import Decision
+from .events import RequestArrived
+
+__all__ = ["Open", "OpenRequests", "Stage"]
+
+
+class Stage(enum.Enum):
+    """How far a request has come."""
+
+    NEW = "new"
+    QUEUED = "queued"
+    CLAIMING = "claiming, with a slot"
+    PARKED = "claiming, without a slot"
+    REFUSING = "refusing"
+    RUNNING = "running"
+    RELAYED = "relayed"
+    JOINED = "joined to another request"
+
+
+@dataclass(slots=True)
+class Open:
+    """A request that has no final answer yet."""
+
+    event: RequestArrived
+    deadline: float
+    attempt: int = 0
+    stage: Stage = Stage.NEW
+    since: float = 0.0
+    refusal: Decision | None = None
+    relays: int = 0
+    retries: int = 0
+    cancelled_at: float | None = None
+    followers: list[int] = field(default_factory=list)
+
+    @property
+    def number(self) -> int:
+        """The driver's name for the request."""
+        return self.event.request
+
+    @property
+    def claimed(self) -> bool:
+        """Whether it may run only under a claim."""
+        return bool(self.event.key) and not self.event.idempotent
+
+
+class OpenRequests:
+    """Open requests by number, and which one leads the copies of a key.
+
+    Copies of a claimed request at one agent follow the first of them: they
+    get its answer, whatever that is.
+    """
+
+    def __init__(self) -> None:
+        self._by_number: dict[int, Open] = {}
+        self._leader_by_key: dict[bytes, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_number)
+
+    def __iter__(self) -> Iterator[Open]:
+        return iter(list(self._by_number.values()))
+
+    def __contains__(self, number: int) -> bool:
+        return number in self._by_number
+
+    def get(self, number: int) -> Open | None:
+        """Return an open request, None if it is closed."""
+        return self._by_number.get(number)
+
+    def add(self, item: Open) -> None:
+        """Open a request."""
+        self._by_number[item.number] = item
+
+    def leader(self, key: bytes) -> Open | None:
+        """Return the request that leads the copies of ``key``."""
+        return self._by_number.get(self._leader_by_key.get(key, -1))
+
+    def lead(self, item: Open) -> None:
+        """Let a request lead the copies of its key."""
+        self._leader_by_key[item.event.key] = item.number
+
+    def follow(self, item: Open, leader: Open) -> None:
+        """Let a copy wait for what its leader gets."""
+        leader.followers.append(item.number)
+        item.stage = Stage.JOINED
+
+    def detach(self, item: Open) -> None:
+        """Close a copy without its leader."""
+        self.close(item)
+        leader = self.leader(item.event.key)
+        if leader is not None and item.number in leader.followers:
+            leader.followers.remove(item.number)
+
+    def close(self, item: Open) -> None:
+        """Close a request, its followers aside."""
+        self._by_number.pop(item.number, None)
+        if self._leader_by_key.get(item.event.key) == item.number:
+            del self._leader_by_key[item.event.key]
+
+    def close_all(self, item: Open) -> None:
+        """Close a request and its followers."""
+        for number in item.followers:
+            self._by_number.pop(number, None)
+        self.close(item)
+
+    def clear(self) -> None:
+        """Close everything."""
+        self._by_number.clear()
+        self._leader_by_key.clear()
--- a/packages/zinniahook-core/src/zinniahook_core/requests.py
+++ b/packages/zinniahook-core/src/zinniahook_core/requests.py
@@ -7,10 +7,9 @@
 
 from __future__ import annotations
 
-import enum
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any, Protocol
 
 from .admission import Admission, Decision, Verdict
@@ -39,6 +38,7 @@
 )
 from .messages import ClaimIntent, ClaimState
 from .models import AgentState, Load, Member, Service
+from .opens import Open, OpenRequests, Stage
 from .placement import coldness
 from .records import UNNUMBERED_LIFETIME
 
@@ -48,6 +48,11 @@
 REFUSE_WAIT = 8.0
 """Longer than it takes to mark a dead claim owner down."""
 
+OVERTIME = 10.0
+"""How long a claimed request may run on past its deadline: its caller may come
+back for the answer, while a cancelled one stays unknown."""
+
+CANCEL_WAIT = 1.0
 PARK_AFTER = 0.3
 RELAYS_LIMIT = 2
 RETRIES_LIMIT = 1
@@ -86,44 +91,6 @@
         """Note that work was handed to ``peer``."""
 
 
-class Stage(enum.Enum):
-    """How far a request has come."""
-
-    NEW = "new"
-    QUEUED = "queued"
-    CLAIMING = "claiming, with a slot"
-    PARKED = "claiming, without a slot"
-    REFUSING = "refusing"
-    RUNNING = "running"
-    RELAYED = "relayed"
-    JOINED = "joined to another request"
-
-
-@dataclass(slots=True)
-class Open:
-    """A request that has no final answer yet."""
-
-    event: RequestArrived
-    deadline: float
-    attempt: int = 0
-    stage: Stage = Stage.NEW
-    since: float = 0.0
-    refusal: Decision | None = None
-    relays: int = 0
-    retries: int = 0
-    followers: list[int] = field(default_factory=list)
-
-    @property
-    def number(self) -> int:
-        """The driver's name for the request."""
-        return self.event.request
-
-    @property
-    def claimed(self) -> bool:
-        """Whether it may run only under a claim."""
-        return bool(self.event.key) and not self.event.idempotent
-
-
 class Requests:
     """The requests of one agent.
 
@@ -152,8 +119,7 @@
         self._member: Member | None = None
         self._leaving = False
         self._ready_since: float | None = None
-        self._open_by_request: dict[int, Open] = {}
-        self._leader_by_key: dict[bytes, int] = {}
+        self._open = OpenRequests()
         self._effects: list[AgentEffect] = []
         self.claims = Claims(name)
         self.admission = Admission(1, service.classes_by_name, rng)
@@ -176,7 +142,7 @@
     @property
     def idle(self) -> bool:
         """Whether nothing is in progress here, nor to be handed over."""
-        if self._open_by_request:
+        if len(self._open):
             return False
         return not self._leaving or self.claims.handed_over
 
@@ -205,16 +171,15 @@
         that runs at the target goes on there; its record says unknown until
         the target ends it.
         """
-        for item in list(self._open_by_request.values()):
+        for item in self._open:
             if item.stage is Stage.RUNNING and item.claimed:
                 self.claims.failed(now, item.event.key)
             elif item.stage in (Stage.RUNNING, Stage.RELAYED):
                 self._effects.append(CancelRequest(item.number))
             self.claims.forget(item.number)
             self.admission.release(now, item.number, answered=False)
-        self._count("requests.fenced", len(self._open_by_request))
-        self._open_by_request.clear()
-        self._leader_by_key.clear()
+        self._count("requests.fenced", len(self._open))
+        self._open.clear()
         self._ready_since = None
         self.claims.restart(now)
         effects, self._effects = self._effects, []
@@ -258,13 +223,15 @@
         if self._ready_since is not None:
             self.admission.warm(coldness(now, self._ready_since))
         self.claims.tick(now)
-        for item in list(self._open_by_request.values()):
+        for item in self._open:
             if item.stage is Stage.CLAIMING and now - item.since > PARK_AFTER:
                 self._park(now, item)
+            elif item.stage in (Stage.RUNNING, Stage.RELAYED):
+                self._limit(now, item)
 
     @_handles(RequestArrived)
     def _arrive(self, now: float, event: RequestArrived) -> None:
-        if event.request in self._open_by_request:
+        if event.request in self._open:
             return
         rule = self.admission.rule(event.kind)
         if rule is None:
@@ -277,18 +244,18 @@
         if event.deadline > 0:
             deadline = min(deadline, event.deadline)
         item = Open(event, deadline, event.attempt, since=now)
-        self._open_by_request[event.request] = item
+        self._open.add(item)
         if item.claimed and self._follow(now, item):
             return
         self._place(now, item, rule.slots)
 
     @_handles(RequestFinished)
     def _finish(self, now: float, event: RequestFinished) -> None:
-        item = self._open_by_request.get(event.request)
+        item = self._open.get(event.request)
         if item is None:
             return
         if item.stage is Stage.JOINED:
-            self._detach(item)
+            self._open.detach(item)
         if item.stage not in (Stage.RUNNING, Stage.RELAYED):
             return
         done = event.outcome.kind is OutcomeKind.DONE
@@ -298,7 +265,7 @@
             self._finish_claimed(now, item, event, was_relayed)
             return
         if done:
-            self._close(item)
+            self._open.close(item)
             return
         if self._try_again(now, item, event, was_relayed):
             return
@@ -306,7 +273,7 @@
 
     @_handles(RequestCancelled)
     def _cancel(self, now: float, event: RequestCancelled) -> None:
-        item = self._open_by_request.get(event.request)
+        item = self._open.get(event.request)
         if item is None:
             return
         if item.stage is Stage.RUNNING and item.claimed:
@@ -315,14 +282,14 @@
             self._count("requests.orphaned")
             return
         if item.stage is Stage.JOINED:
-            self._detach(item)
+            self._open.detach(item)
             return
         if item.stage in (Stage.RUNNING, Stage.RELAYED):
             self._effects.append(CancelRequest(item.number))
         self.claims.forget(item.number)
         self.admission.release(now, item.number, answered=False)
         followers = item.followers
-        self._close(item)
+        self._open.close(item)
         self._promote(now, followers)
 
     def _place(self, now: float, item: Open, slots: int) -> None:
@@ -356,6 +323,22 @@
         self._effects.append(Relay(item.number, peer))
         self._join_followers(item)
 
+    def _limit(self, now: float, item: Open) -> None:
+        """Cancel what runs past the deadline that its caller gave.
+
+        What goes wrong otherwise: a target hangs, and its requests hold their
+        slots for good. It shows as slots in use and nothing finished.
+        """
+        if item.event.deadline <= 0 or now < item.event.deadline + _overtime(item):
+            return
+        if item.cancelled_at is None:
+            item.cancelled_at = now
+            self._count("requests.overdue")
+            self._effects.append(CancelRequest(item.number))
+        elif now - item.cancelled_at >= CANCEL_WAIT:
+            lost = Outcome(OutcomeKind.UNKNOWN, Code.DEADLINE_EXPIRED)
+            self._finish(now, RequestFinished(item.number, lost, started=True))
+
     def _join_followers(self, item: Open) -> None:
         self._effects += [JoinRequest(number, item.number) for number in item.followers]
 
@@ -406,28 +389,20 @@
     def _follow(self, now: float, item: Open) -> bool:
         """Join the copy of this request that is open here already."""
         key = item.event.key
-        leader = self._open_by_request.get(self._leader_by_key.get(key, -1))
-        if leader is not None:
-            leader.followers.append(item.number)
-            item.stage = Stage.JOINED
+        leader = self._open.leader(key)
+        if leader is not None and _may_join(item, leader):
+            self._open.follow(item, leader)
             self._raise_attempt(now, leader, item.attempt)
             if leader.stage in (Stage.RUNNING, Stage.RELAYED):
                 self._effects.append(JoinRequest(item.number, leader.number))
             return True
-        self._leader_by_key[key] = item.number
+        self._open.lead(item)
         known = self.claims.known(now, key)
         if known is None:
             return False
         self._settle(now, known._replace(request=item.number))
         return True
 
-    def _detach(self, item: Open) -> None:
-        """Take a follower from its leader."""
-        self._close(item)
-        leader = self._open_by_request.get(self._leader_by_key.get(item.event.key, -1))
-        if leader is not None and item.number in leader.followers:
-            leader.followers.remove(item.number)
-
     def _raise_attempt(self, now: float, leader: Open, attempt: int) -> None:
         """Let a leader stand for a later attempt of its request as well.
 
@@ -447,7 +422,9 @@
         self.claims.begin(now, item.number, key, item.attempt, intent, until)
 
     def _promote(self, now: float, followers: list[int]) -> None:
-        items = [self._open_by_request.pop(number) for number in followers]
+        items = [self._open.get(number) for number in followers]
+        for item in items:
+            self._open.close(item)
         for item in items:
             self._arrive(now, item.event)
 
@@ -506,12 +483,15 @@
     def _outcome(self, item: Open, event: RequestFinished) -> Outcome:
         """Return what the caller may be told of a request that failed."""
         outcome = event.outcome
+        if item.cancelled_at is not None:
+            kind = OutcomeKind.UNKNOWN if event.started else OutcomeKind.NOT_RUN
+            return Outcome(kind, Code.DEADLINE_EXPIRED)
         if event.started and outcome.kind is OutcomeKind.NOT_RUN:
             return Outcome(OutcomeKind.UNKNOWN, outcome.code)
         return outcome
 
     def _settle(self, now: float, settled: Settled) -> None:
-        item = self._open_by_request.get(settled.request)
+        item = self._open.get(settled.request)
         if item is None:
             return
         handler = _HANDLERS_BY_STATE.get(settled.state)
@@ -574,10 +554,10 @@
             self._settle(now, answer)
         given_up = self.admission.hopeless(now)
         for number, refusal in given_up:
-            self._refuse(now, self._open_by_request[number], refusal)
+            self._refuse(now, self._open.get(number), refusal)
         started = self.admission.start(now)
         for number in started:
-            self._begin(now, self._open_by_request[number])
+            self._begin(now, self._open.get(number))
         return bool(effects or settled or given_up or started)
 
     def _conclude(self, item: Open, outcome: Outcome) -> None:
@@ -590,14 +570,7 @@
         self._effects.append(FinishRequest(request, Outcome(kind, code)))
 
     def _close_all(self, item: Open) -> None:
-        for number in item.followers:
-            self._open_by_request.pop(number, None)
-        self._close(item)
-
-    def _close(self, item: Open) -> None:
-        self._open_by_request.pop(item.number, None)
-        if self._leader_by_key.get(item.event.key) == item.number:
-            del self._leader_by_key[item.event.key]
+        self._open.close_all(item)
 
     def _count(self, name: str, amount: int = 1) -> None:
         if amount:
@@ -613,3 +586,18 @@
 
 def _is_leaving(member: Member | None) -> bool:
     return member is not None and member.state is AgentState.LEAVING
+
+
+def _may_join(item: Open, leader: Open) -> bool:
+    # What goes wrong: two agents each relay their copy of one request to the
+    # other, each copy joins the one that was relayed away, and all of them
+    # wait for ever. So a relayed copy never joins a relayed one; the claim
+    # decides which of the copies runs.
+    return not (item.event.relayed_by and leader.stage is Stage.RELAYED)
+
+
+def _overtime(item: Open) -> float:
+    if not item.claimed:
+        return 0.0
+    # A peer to which the request was relayed gives up first.
+    return OVERTIME + (2 * CANCEL_WAIT if item.stage is Stage.RELAYED else 0.0)
