Let failures weigh against a target, and wrong alarms not

Cause: with lying reports, false alarms halved the slots of targets whose requests run for longer than 2 s, and a target that fails fast still drew work for being empty. Change: an alarm counts only after 30 s without a success; failures seen add to how filled a target looks, over a half-life of 15 s.

--- a/packages/zinniahook-core/src/zinniahook_core/placement.py
+++ b/packages/zinniahook-core/src/zinniahook_core/placement.py
@@ -32,12 +32,14 @@
 TRUST_TIME = 1.0
 WARM_UP = 10.0
 COLD_SHARE = 0.2
-HEALTH_HALF_LIFE = 5.0
+HEALTH_HALF_LIFE = 15.0
 HEALTH_PRIOR = 2.0
 HEALTH_FLOOR = 0.05
 CLAIM_AGE = 3.0
 CLAIM_SHARE = 0.5
-SUCCESS_AGE = 2.0
+SUCCESS_AGE = 30.0
+FAILURE_WEIGHT = 4.0
+"""A target that fails all counts as filled this many times more."""
 LEAST_SLOTS = 0.1
 NO_LOAD = Load(1, 0, 0, 0, 0)
 
@@ -53,8 +55,9 @@
     A target that fails fast has few requests in progress, so by load alone it
     looks like the best place and draws in all the work, whatever its health
     endpoint claims. The failures that the agent itself saw lower its share;
-    a healthy claim never raises it. An unhealthy claim counts only while no
-    request succeeds, so that a wrong alarm takes nothing out of service.
+    a healthy claim never raises it. An unhealthy claim counts only when no
+    request has succeeded for long, so that a wrong alarm takes nothing out of
+    service. Evidence fades, so that a mended target is tried again.
     """
 
     def __init__(self) -> None:
@@ -107,6 +110,7 @@
 class Peer:
     """What is known of one peer: its last report and what was handed since."""
 
+    slots: int = 1
     ready: bool = False
     leaving: bool = False
     incarnation: int = 0
@@ -123,12 +127,13 @@
     streams: float
     busy: float
     slots: float
+    share: float
     age: float
 
     @property
     def filled(self) -> float:
-        """Requests running and queued per slot."""
-        return self.busy / self.slots
+        """Requests running and queued per slot, more if the target fails."""
+        return self.busy / self.slots + FAILURE_WEIGHT * (1.0 - self.share)
 
 
 class Placement:
@@ -168,6 +173,7 @@
             if member.incarnation > peer.incarnation:
                 peer = Peer(incarnation=member.incarnation)
             allowed = self._service is None or may_serve(self._service, member)
+            peer.slots = member.slots
             peer.ready = member.state is AgentState.READY and allowed
             self._peers_by_name[name] = peer
 
@@ -201,9 +207,11 @@
         known.handed.append(Handed(now, slots, flows))
 
     def reported(self, now: float, load: Load) -> Load:
-        """Return ``load`` as peers may count on it, for a heartbeat."""
-        share = self.health.share(now)
-        return load._replace(slots=max(1, round(load.slots * share)))
+        """Return ``load`` for a heartbeat, with the slots that are usable.
+
+        Peers know from the roster how many there are, and so the health.
+        """
+        return load._replace(slots=round(load.slots * self.health.share(now)))
 
     def choose_for_flow(
         self, now: float, local: Load, forced: bool = False
@@ -233,7 +241,7 @@
         if slots_needed == 0:
             return self._choose_by(now, local, forced, lambda work: work.streams)
         own = self._own_work(now, local)
-        filled = (own.busy + slots_needed) / own.slots
+        filled = own.filled + slots_needed / own.slots
         if filled <= LOCAL_SHARE and not forced:
             return None
         works = self._peers_work(now)
@@ -268,7 +276,8 @@
         mean = max(total, 1.0) / sum(work.slots for work in everyone)
 
         def score(work: Work) -> float:
-            return count(work) / work.slots / mean + FILLED_WEIGHT * work.filled
+            usable = max(LEAST_SLOTS, work.slots * work.share)
+            return count(work) / usable / mean + FILLED_WEIGHT * work.filled
 
         best = min(self._pair(works), key=lambda name: score(works[name]))
         gains = score(works[best]) + FLOW_MARGIN < score(own)
@@ -278,9 +287,14 @@
         return self._rng.sample(list(works), min(CHOICES, len(works)))
 
     def _own_work(self, now: float, local: Load) -> Work:
-        slots = _usable(local) * self.health.share(now)
-        busy = local.busy + local.queued
-        return Work(local.flows, local.streams, busy, max(LEAST_SLOTS, slots), 0.0)
+        return Work(
+            local.flows,
+            local.streams,
+            local.busy + local.queued,
+            _warm(local.slots, local.cold),
+            self.health.share(now),
+            age=0.0,
+        )
 
     def _peers_work(self, now: float) -> dict[str, Work]:
         """Return the work of every ready peer with a fresh report."""
@@ -296,7 +310,8 @@
                 load.flows + flows,
                 load.streams + flows,
                 load.busy + load.queued + slots,
-                max(LEAST_SLOTS, _usable(load)),
+                _warm(peer.slots, load.cold),
+                min(1.0, load.slots / max(1, peer.slots)),
                 age,
             )
         return works_by_name
@@ -310,6 +325,6 @@
         return self._rng.choice(ready) if ready else None
 
 
-def _usable(load: Load) -> float:
+def _warm(slots: int, cold: float) -> float:
     """Return the slots that a target can fill, fewer while it is cold."""
-    return load.slots * (1.0 - load.cold * (1.0 - COLD_SHARE))
+    return max(LEAST_SLOTS, slots * (1.0 - cold * (1.0 - COLD_SHARE)))
--- /dev/null
+++ b/packages/zinniahook-core/tests/test_placement.py
@@ -0,0 +1,239 @@
+"""Placement by own counts: two choices, ages, slots, warm-up and health."""
+
+import random
+from collections import Counter
+
+from zinniahook_core.events import TargetReported
+from zinniahook_core.messages import Heartbeat
+from zinniahook_core.models import (
+    Address,
+    AgentState,
+    Load,
+    Member,
+    Protocol,
+    Roster,
+    Service,
+)
+from zinniahook_core.placement import REPORT_AGE, Health, Placement, coldness
+
+NOWHERE = Address("127.0.0.1", 1)
+IDLE = Load(4, 0, 0, 0, 0)
+FULL = Load(4, 4, 2, 0, 0)
+
+
+def member(name, slots=4, state=AgentState.READY, incarnation=1):
+    return Member(name, NOWHERE, NOWHERE, NOWHERE, "thies-1", incarnation, state, slots)
+
+
+def placement(*peers):
+    one = Placement("own", random.Random(1))
+    members = [member("own"), *peers]
+    one.roster(0.0, Roster("tally", 1, {item.name: item for item in members}))
+    return one
+
+
+def beat(one, now, name, load, sequence=1, incarnation=1, leaving=False):
+    heartbeat = Heartbeat(incarnation, sequence, 1, load, leaving)
+    one.heartbeat(now, name, heartbeat)
+
+
+def chosen(one, now, local, times=200, slots=1):
+    return Counter(one.choose_for_request(now, slots, local) for _ in range(times))
+
+
+class TestRequests:
+    def test_a_full_agent_uses_an_idle_peer_and_an_idle_one_itself(self):
+        one = placement(member("a"), member("b"))
+        beat(one, 0.0, "a", IDLE)
+        beat(one, 0.0, "b", FULL)
+        assert one.choose_for_request(0.1, 1, FULL) == "a"
+        assert one.choose_for_request(0.1, 1, IDLE) is None
+
+    def test_no_gain_no_handing_over(self):
+        one = placement(member("a"))
+        beat(one, 0.0, "a", Load(4, 3, 0, 0, 0))
+        assert one.choose_for_request(0.0, 1, Load(4, 3, 0, 0, 0)) is None
+
+    def test_old_reports_are_not_used(self):
+        """A full agent handed work to a peer that had died.
+
+        Symptom: requests time out although other targets are free.
+        Sequence: the peer reports that it is idle, and dies.
+        Cause: the last report, however old, was taken for the present.
+        """
+        one = placement(member("a"))
+        beat(one, 0.0, "a", IDLE)
+        assert one.choose_for_request(REPORT_AGE, 1, FULL) == "a"
+        assert one.choose_for_request(REPORT_AGE + 0.1, 1, FULL) is None
+
+    def test_a_doubled_or_late_report_is_not_fresh(self):
+        one = placement(member("a"))
+        beat(one, 0.0, "a", IDLE, sequence=5)
+        beat(one, 4.0, "a", IDLE, sequence=5)
+        beat(one, 4.0, "a", IDLE, sequence=4)
+        assert one.choose_for_request(4.0, 1, FULL) is None
+
+    def test_what_was_handed_since_the_report_counts(self):
+        """A whole burst went to the one peer that had reported to be idle.
+
+        Symptom: one target queues while the rest have free slots.
+        Sequence: a burst arrives between two heartbeats.
+        Cause: choosing by the report alone until the next one.
+        """
+        one = placement(member("a"), member("b"))
+        beat(one, 0.0, "a", IDLE)
+        beat(one, 0.0, "b", Load(4, 1, 0, 0, 0))
+        taken = Counter()
+        for _ in range(8):
+            peer = one.choose_for_request(0.1, 1, FULL)
+            one.handed(0.1, peer)
+            taken[peer] += 1
+        assert abs(taken["a"] - taken["b"]) <= 2
+
+    def test_a_new_report_replaces_what_was_handed_but_not_what_is_in_flight(self):
+        one = placement(member("a"))
+        beat(one, 0.0, "a", IDLE)
+        for _ in range(20):
+            one.handed(0.5, "a")
+        assert one.choose_for_request(0.5, 1, FULL) is None
+        beat(one, 0.505, "a", IDLE, sequence=2)
+        assert one.choose_for_request(0.51, 1, FULL) is None
+        beat(one, 1.5, "a", IDLE, sequence=3)
+        assert one.choose_for_request(1.5, 1, FULL) == "a"
+
+    def test_work_is_weighed_by_slots(self):
+        one = placement(member("big", slots=16), member("small", slots=2))
+        beat(one, 0.0, "big", Load(16, 8, 0, 0, 0))
+        beat(one, 0.0, "small", Load(2, 2, 0, 0, 0))
+        assert chosen(one, 0.0, FULL) == {"big": 200}
+
+    def test_only_ready_peers_that_are_not_leaving(self):
+        one = placement(
+            member("starting", state=AgentState.STARTING),
+            member("leaving", state=AgentState.LEAVING),
+            member("down", state=AgentState.DOWN),
+            member("parting"),
+            member("ready"),
+        )
+        for name in ("starting", "leaving", "down", "ready"):
+            beat(one, 0.0, name, IDLE)
+        beat(one, 0.0, "parting", IDLE, leaving=True)
+        assert chosen(one, 0.0, FULL) == {"ready": 200}
+
+    def test_forced_takes_any_ready_peer(self):
+        one = placement(member("a"))
+        assert one.choose_for_request(0.0, 1, IDLE, forced=True) == "a"
+        assert placement().choose_for_request(0.0, 1, IDLE, forced=True) is None
+
+    def test_streams_are_weighed_by_streams(self):
+        one = placement(member("a"), member("b"))
+        beat(one, 0.0, "a", Load(4, 4, 0, 0, 10))
+        beat(one, 0.0, "b", Load(4, 0, 0, 0, 300))
+        local = Load(4, 0, 0, 0, 300)
+        assert chosen(one, 0.0, local, slots=0) == {"a": 200}
+
+
+class TestFlows:
+    def test_flows_even_out_between_two_agents(self):
+        """Openings of two heartbeats' time tipped the balance the other way.
+
+        Symptom: flows swing between two targets and never settle.
+        Sequence: thousands of openings arrive between two reports.
+        Cause: neither a margin nor a count of what was handed since.
+        """
+        flows = {"own": 400, "a": 100}
+        one = placement(member("a"))
+        for second in range(20):
+            beat(one, second, "a", Load(4, 0, 0, flows["a"], 0), sequence=second)
+            for step in range(100):
+                local = Load(4, 0, 0, flows["own"], 0)
+                now = second + step / 100
+                peer = one.choose_for_flow(now, local)
+                if peer:
+                    one.handed(now, peer, slots=0, flows=1)
+                flows[peer or "own"] += 1
+        assert abs(flows["own"] - flows["a"]) < 0.1 * flows["own"]
+
+    def test_a_cold_target_gets_its_share_slowly(self):
+        """A target that had just joined was drowned in openings.
+
+        Symptom: the first minute of a new target is all timeouts.
+        Sequence: it joins with no flows, so every peer's openings go to it.
+        Cause: its slots counted in full while its caches were empty.
+        """
+        one = placement(member("a"))
+        local = Load(4, 2, 0, 100, 0)
+        beat(one, 0.0, "a", Load(4, 0, 0, 30, 0, cold=1.0))
+        assert one.choose_for_flow(0.0, local) is None
+        beat(one, 1.0, "a", Load(4, 0, 0, 30, 0), sequence=2)
+        assert one.choose_for_flow(1.0, local) == "a"
+        assert coldness(0.0, 0.0) == 1.0
+        assert coldness(1000.0, 0.0) == 0.0
+
+    def test_a_member_that_the_configuration_excludes_is_not_chosen(self):
+        one = placement(member("a"), member("b"))
+        service = Service("tally", 1, NOWHERE, Protocol.QUIC, targets=("own", "b"))
+        one.configure(service)
+        for name in ("a", "b"):
+            beat(one, 0.0, name, IDLE)
+        assert chosen(one, 0.0, FULL) == {"b": 200}
+
+    def test_a_new_incarnation_starts_without_a_report(self):
+        one = placement(member("a"))
+        beat(one, 0.0, "a", IDLE, sequence=9)
+        again = Roster("tally", 2, {"a": member("a", incarnation=2)})
+        one.roster(0.5, again)
+        assert one.choose_for_request(0.5, 1, FULL) is None
+        beat(one, 0.6, "a", IDLE, sequence=10, incarnation=1)
+        assert one.choose_for_request(0.6, 1, FULL) is None
+        beat(one, 0.7, "a", IDLE, sequence=1, incarnation=2)
+        assert one.choose_for_request(0.7, 1, FULL) == "a"
+
+
+class TestHealth:
+    def test_a_fast_failing_target_is_avoided_whatever_it_claims(self):
+        """One failing target answered most of a service's requests.
+
+        Symptom: most tickets fail while six of seven targets are well.
+        Sequence: a target fails each request at once and reports that it is
+        healthy and idle.
+        Cause: by its load alone it is the best place for everything.
+        """
+        failing = Placement("a", random.Random(2))
+        for number in range(30):
+            failing.health.finished(number / 10, True)
+            failing.health.reported(number / 10, TargetReported(True, IDLE))
+        load = failing.reported(3.0, IDLE)
+        assert load.slots == 0
+        one = placement(member("a"), member("b"))
+        beat(one, 3.0, "a", load)
+        beat(one, 3.0, "b", Load(4, 3, 0, 0, 0))
+        assert chosen(one, 3.0, FULL) == {"b": 200}
+
+    def test_its_own_agent_passes_work_on(self):
+        one = placement(member("a"))
+        beat(one, 3.0, "a", Load(4, 2, 0, 0, 0))
+        assert one.choose_for_request(3.0, 1, IDLE) is None
+        for _ in range(20):
+            one.health.finished(3.0, True)
+        assert one.choose_for_request(3.0, 1, IDLE) == "a"
+
+    def test_a_false_alarm_changes_nothing_while_requests_succeed(self):
+        health = Health()
+        for number in range(10):
+            health.finished(float(number), False)
+            health.reported(float(number), TargetReported(False, None))
+        assert health.share(10.0) == 1.0
+
+    def test_an_alarm_without_any_success_counts(self):
+        health = Health()
+        health.reported(100.0, TargetReported(None, None))
+        assert health.share(100.0) < 1.0
+        assert health.share(104.0) == 1.0
+
+    def test_a_mended_target_is_tried_again(self):
+        health = Health()
+        for _ in range(50):
+            health.finished(0.0, True)
+        assert health.share(0.0) < 0.1
+        assert health.share(120.0) > 0.8
