--- a/packages/zinniahook-core/src/zinniahook_core/flows.py
+++ b/packages/zinniahook-core/src/zinniahook_core/flows.py
@@ -172,10 +172,11 @@
         if owned is not None:
             owned.seen = now
 
-    def closed(self, flow: bytes) -> None:
+    def closed(self, flow: bytes) -> Effects:
         """Forget a flow that the driver has ended."""
         self._accepted.discard(flow)
         self._owned.forget(flow)
+        return []
 
     def peer(self, now: float, sender: str, message: PeerMessage) -> Effects:
         """Handle a message about flows; others are ignored."""
--- a/packages/zinniahook-core/tests/test_flows.py
+++ b/packages/zinniahook-core/tests/test_flows.py
@@ -600,6 +600,14 @@
         event = FlowOpening("feed", b"12345678", caller(1))
         assert one.flows.opening(0.0, event) == [Drop(Code.LEAVING)]
 
+    def test_a_closed_flow_is_no_longer_counted(self):
+        one = Fixture()
+        event = FlowOpening("feed", b"12345678", caller(1), handed_by="a-1")
+        one.flows.opening(0.0, event)
+        assert one.flows.count == 1
+        assert one.flows.closed(b"12345678") == []
+        assert one.flows.count == 0
+
 
 class TestPointers:
     def test_bounded_and_aged(self):
