--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/announcements.py
@@ -0,0 +1,213 @@
+"""The list of the daemons of a data centre, as each of them writes it.
+
+Entries announce themselves there, since no roster names them; agents stand
+in the roster of their service. Operators ask those daemons, and the daemons
+derive from the list who learns from whom.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import secrets
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from zinniahook_core.codes import ZinniahookError
+from zinniahook_store import Item, Store, StoreError, Written
+from zinniahook_wire import documents
+from zinniahook_wire.documents import Daemon
+
+if TYPE_CHECKING:
+    from .node import Node
+
+__all__ = ["Announcement", "read_daemons"]
+
+RETRY = 0.2
+RETRY_LIMIT = 10.0
+"""Seconds between attempts, doubled after each; many daemons start at once."""
+
+WITHDRAW_TIMEOUT = 1.0
+"""Seconds that a stopping daemon spends on taking itself from the list."""
+
+PROBE_INTERVAL = 10.0
+"""Seconds between looks at one other daemon of the list."""
+
+PROBE_TIMEOUT = 2.0
+
+PROBES = 3
+"""Failures in a row after which a daemon is taken from the list.
+
+A killed daemon can't take itself off, and its place in the distribution would
+stay empty; its children would each try it first.
+"""
+
+Daemons = dict[str, Daemon]
+Change = Callable[[Daemons], bool]
+
+
+async def read_daemons(store: Store, data_centre: str) -> Daemons:
+    """Return the announced daemons of a data centre by name.
+
+    Raises
+    ------
+    ZinniahookError
+        If the store gives no answer or the value can't be read.
+    """
+    item = await store.get(documents.daemons_key(data_centre))
+    return documents.daemons_from_json(item.value) if item else {}
+
+
+class Announcement:
+    """Keeps this daemon in the list, and dead ones out of it.
+
+    Parameters
+    ----------
+    node : Node
+        A started node.
+
+    Attributes
+    ----------
+    announced : bool
+        Whether this daemon has once stood in the list.
+    """
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._key = documents.daemons_key(node.settings.data_centre)
+        self._daemon = Daemon(
+            node.settings.name,
+            node.settings.role,
+            node.control_address,
+            int(time.time()),
+        )
+        self._failures_by_name: dict[str, int] = {}
+        self.announced = False
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start to announce."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Take this daemon from the list, if the store answers in time."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        if not self.announced:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WITHDRAW_TIMEOUT):
+                await self._until_written(self._withdraw)
+
+    async def _run(self) -> None:
+        await self._until_written(self._announce)
+        self.announced = True
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL * random.uniform(0.5, 1.5))
+            await self._probe_one()
+
+    async def _until_written(self, change: Change) -> None:
+        """Make a change of the list, however often others are first."""
+        pause = RETRY
+        while not await self._write(change):
+            await asyncio.sleep(pause * random.uniform(0.5, 1.5))
+            pause = min(RETRY_LIMIT, pause * 2)
+
+    async def _write(self, change: Change) -> bool:
+        """Try a change once; False if it has to be tried again.
+
+        A lost answer needs no settling here: the next try finds the change
+        made, or makes it.
+        """
+        store = self._node.store
+        try:
+            item = await store.get(self._key)
+            daemons, operations = _decode(item)
+            if not change(daemons):
+                return True
+            operation = secrets.token_hex(8)
+            value = documents.daemons_to_json(
+                daemons.values(), (*operations, operation)
+            )
+        except StoreError:
+            return False
+        except ZinniahookError as error:
+            self._node.distribution.unusable(self._key, error)
+            return False
+        revision = item.revision if item else 0
+        outcome = await store.compare_and_swap(self._key, revision, value)
+        return isinstance(outcome, Written)
+
+    def _announce(self, daemons: Daemons) -> bool:
+        if daemons.get(self._daemon.name) == self._daemon:
+            return False
+        daemons[self._daemon.name] = self._daemon
+        return True
+
+    def _withdraw(self, daemons: Daemons) -> bool:
+        # A successor of the same name may already have taken the place.
+        if daemons.get(self._daemon.name) != self._daemon:
+            return False
+        del daemons[self._daemon.name]
+        return True
+
+    async def _probe_one(self) -> None:
+        """Look at one other daemon, and take it off if it is gone."""
+        try:
+            daemons = await read_daemons(
+                self._node.store, self._node.settings.data_centre
+            )
+        except ZinniahookError:
+            return
+        if daemons.get(self._daemon.name) != self._daemon:
+            # Taken off while this process was paused or cut off.
+            await self._until_written(self._announce)
+        others = [one for one in daemons.values() if one.name != self._daemon.name]
+        if not others or not self._looks():
+            return
+        other = random.choice(others)
+        failures = self._failures_by_name
+        if await _listens(other):
+            failures.pop(other.name, None)
+            return
+        failures[other.name] = failures.get(other.name, 0) + 1
+        if failures[other.name] < PROBES:
+            return
+
+        def remove(daemons: Daemons) -> bool:
+            return daemons.get(other.name) == other and bool(
+                daemons.pop(other.name, None)
+            )
+
+        await self._write(remove)
+        del failures[other.name]
+        self._node.log("daemon-removed", daemon=other.name)
+
+    def _looks(self) -> bool:
+        """Whether this daemon looks after the others: only watchers do."""
+        return self._node.distribution.watches
+
+
+def _decode(item: Item | None) -> tuple[Daemons, tuple[str, ...]]:
+    if item is None:
+        return {}, ()
+    return (
+        documents.daemons_from_json(item.value),
+        documents.operations_of(item.value),
+    )
+
+
+async def _listens(daemon: Daemon) -> bool:
+    """Whether something takes connections at a daemon's control address."""
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT):
+            _, writer = await asyncio.open_connection(*daemon.control)
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/control.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/control.py
@@ -8,6 +8,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
+from h2.exceptions import H2Error
 from zinniahook_core.codes import Code
 from zinniahook_core.models import Address, AgentState
 from zinniahook_wire.control_grpc import ControlBase
@@ -29,6 +30,9 @@
 
 __all__ = ["ControlServer", "StatusFields"]
 
+GONE = (StreamTerminatedError, ConnectionError, H2Error)
+"""What a call raises once its caller is gone."""
+
 SERVING = "serving"
 STOPPING = "stopping"
 NOT_READY = "not-ready"
@@ -113,7 +117,7 @@
             return
         try:
             await self._node.distribution.serve(request, stream)
-        except (StreamTerminatedError, ConnectionError):
+        except GONE:
             return
 
     async def Status(  # noqa: N802
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
@@ -12,7 +12,6 @@
 import random
 import ssl
 import time
-from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 from grpclib.server import Stream
@@ -20,16 +19,19 @@
 from zinniahook_core.codes import ZinniahookError
 from zinniahook_core.effects import WriteRoster
 from zinniahook_core.events import RosterWritten
-from zinniahook_core.models import Configuration, Roster
+from zinniahook_core.models import Address, Configuration, Roster
 from zinniahook_wire import documents
 from zinniahook_wire.control_pb2 import SubscribeRequest, Update
 
+from . import trees
+from .announcements import read_daemons
 from .generations import Generations
 from .origin import Origin
 from .parents import Parent
 from .settings import Role
 from .sources import Source, SourceError
 from .subscriptions import Subscription
+from .trees import Place
 
 if TYPE_CHECKING:
     from .node import Node
@@ -52,6 +54,10 @@
 RETURN = 30.0
 """Seconds after which a daemon that fell back to the store tries its parents."""
 
+RETRY = 5.0
+"""Seconds after which a daemon that should watch the store tries it again. Two
+that learned from each other for longer would hear of no change."""
+
 SUSPICION_INTERVAL = 2.0
 """Seconds between two suspicions taken up; each costs the source a call."""
 
@@ -78,6 +84,8 @@
         Set while another daemon is known to have a newer generation.
     depth : int
         Steps between this daemon and the store.
+    watches : bool
+        Whether this daemon follows the store rather than others.
     """
 
     def __init__(self, node: Node) -> None:
@@ -92,10 +100,13 @@
         self.learned = asyncio.Event()
         self.suspicion = asyncio.Event()
         self.depth = 0
+        self.watches = True
         self.origin = Origin(self, node.store)
         self._heard_at = -float("inf")
         self._patience = 0.0
         self._followed_at = 0.0
+        self._alternatives = False
+        self._last_candidates: frozenset[str] = frozenset()
         self._in_force_at = 0.0
         self._suspected_at = -float("inf")
         self._failures_by_source: dict[str, str] = {}
@@ -172,7 +183,7 @@
         self.depth = depth
         if age <= TOLERANCE:
             self._patience = 0.0
-        elif self._has_parents() and now - self._followed_at > self._patience:
+        elif self._alternatives and now - self._followed_at > self._patience:
             raise SourceError("cut off from the store")
 
     def apply(self) -> None:
@@ -235,7 +246,9 @@
         self._task = asyncio.create_task(self._run())
 
     async def stop(self) -> None:
-        """Stop to learn; subscribers are cut off with the control server."""
+        """Stop to learn and to serve."""
+        for subscription in self._subscriptions:
+            subscription.close()
         if self._task is None:
             return
         self._task.cancel()
@@ -245,8 +258,10 @@
     async def _run(self) -> None:
         pause = BACKOFF
         while True:
-            for source in self._sources():
-                await self._follow(source)
+            sources = await self._sources()
+            self._alternatives = len(sources) > 1
+            for source, limit in sources:
+                await self._follow(source, limit)
             if self.age <= TOLERANCE:
                 pause = BACKOFF
             else:
@@ -256,22 +271,41 @@
             await asyncio.sleep(pause * random.uniform(0.5, 1.5))
             pause = min(BACKOFF_LIMIT, pause * 2)
 
-    def _sources(self) -> Iterator[Source]:
-        """Yield the sources in the order in which they are to be tried."""
-        by_name = {
-            str(address): address for address in self._node.settings.control.parents
-        }
-        for name in rendezvous.rank(self.name.encode(), by_name):
-            if name != self.control:
-                yield Parent(self, by_name[name])
-        yield self.origin
-
-    async def _follow(self, source: Source) -> None:
-        """Learn from a source until it fails."""
-        limit = RETURN if self._has_parents() and source is self.origin else None
+    async def _sources(self) -> list[tuple[Source, float | None]]:
+        """Return what to try in order, each with the seconds to stay with it."""
+        control = self._node.settings.control
+        place = Place(True, ())
+        if control.watchers:
+            candidates = await self._candidates()
+            place = trees.place(
+                self.control, candidates, control.watchers, control.fan_out
+            )
+        elif control.parents:
+            others = {str(address) for address in control.parents} - {self.control}
+            place = Place(False, tuple(rendezvous.rank(self.name.encode(), others)))
+        self.watches = place.watches
+        parents = [Parent(self, Address.parse(text)) for text in place.parents]
+        if place.watches:
+            return [(self.origin, None), *((one, RETRY) for one in parents)]
+        return [*((one, None) for one in parents), (self.origin, RETURN)]
+
+    async def _candidates(self) -> frozenset[str]:
+        """Return the daemons that serve others, as far as known."""
+        settings = self._node.settings
+        if settings.control.parents:
+            return frozenset(map(str, settings.control.parents))
+        try:
+            daemons = await read_daemons(self._node.store, settings.data_centre)
+        except ZinniahookError:
+            return self._last_candidates
+        self._last_candidates = frozenset(str(one.control) for one in daemons.values())
+        return self._last_candidates
+
+    async def _follow(self, source: Source, limit: float | None) -> None:
+        """Learn from a source until it fails, or for some seconds."""
         self.suspicion.clear()
         self._followed_at = time.monotonic()
-        reason = "time to try the parents again"
+        reason = "time to try the others again"
         try:
             async with asyncio.timeout(limit):
                 await source.follow()
@@ -295,9 +329,6 @@
         if self._failures_by_source.pop(source.name, None) is not None:
             self._node.log("source-back", source=source.name)
 
-    def _has_parents(self) -> bool:
-        return bool(self._node.settings.control.parents)
-
     # Serving
 
     async def serve(
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
@@ -161,6 +161,8 @@
         for number in list(self._sockets_by_number):
             service = services_by_number.get(number)
             socket = self._sockets_by_number[number]
+            if service is socket.service:
+                continue
             if service is None or self._bind_address(service) != socket.bound:
                 socket.close()
                 del self._sockets_by_number[number]
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
@@ -22,9 +22,10 @@
 from zinniahook_wire.tunnels import Tunnel, TunnelDatagram
 
 from . import logs
+from .announcements import Announcement
 from .certificates import Certificates
 from .metrics import Histogram, Metrics
-from .settings import Settings
+from .settings import Role, Settings
 from .sockets import UdpSocket
 
 __all__ = ["Node"]
@@ -80,6 +81,7 @@
         self._reload_callbacks: list[Callable[[], None]] = []
         self._timers: list[PeriodicCallback] = []
         self._socket: UdpSocket | None = None
+        self.announcement: Announcement | None = None
         self.distribution = Distribution(self)
         self.control = ControlServer(self)
 
@@ -106,12 +108,17 @@
         self.tunnel_address = self._socket.address
         self.control_address = await self.control.start()
         self.distribution.start()
+        if self.settings.role is Role.ENTRY:
+            self.announcement = Announcement(self)
+            self.announcement.start()
         self.every(1.0, self.metrics.flush)
 
     async def stop(self) -> None:
         """Close everything that `start` opened."""
         for timer in self._timers:
             timer.stop()
+        if self.announcement is not None:
+            await self.announcement.stop()
         await self.distribution.stop()
         await self.control.stop()
         if self._socket is not None:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/settings.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/settings.py
@@ -53,8 +53,13 @@
     authority: Annotated[Path, "PEM file of the authority that signs all of them"]
     parents: Annotated[
         tuple[Address, ...],
-        "control addresses to learn the configuration from; empty: the store",
+        "control addresses to learn from; empty: the store, or with watchers "
+        "set the daemons announced in the store",
     ] = ()
+    watchers: Annotated[
+        int, "daemons of a data centre that watch the store; 0: every one"
+    ] = 0
+    fan_out: Annotated[int, "daemons that learn from each other one, about"] = 16
 
 
 class MetricsSettings(NamedTuple):
@@ -179,6 +184,10 @@
         raise place.inside("store.addresses").error(
             Code.SETTINGS_ADDRESS, "should hold at least one address"
         )
+    if not settings.control.fan_out:
+        raise place.inside("control.fan_out").error(
+            Code.SETTINGS_TYPE, "should be at least 1"
+        )
     if settings.role == Role.AGENT and settings.agent is None:
         raise place.inside("agent").error(Code.SETTINGS_MISSING_KEY, "is missing")
     return settings
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/subscriptions.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/subscriptions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from grpclib.const import Status
@@ -67,9 +68,15 @@
         self._revisions_by_service = dict(request.revisions_by_service)
         self._digests = set(request.digests)
         self._pointer = b""
+        self._closing = False
         self._changed = asyncio.Event()
         self._changed_services: set[str] = set()
 
+    def close(self) -> None:
+        """End the stream, so that the subscriber turns to others at once."""
+        self._closing = True
+        self._changed.set()
+
     def changed(self) -> None:
         """Note that the configuration changed."""
         self._changed.set()
@@ -81,7 +88,7 @@
             self._changed.set()
 
     async def run(self) -> None:
-        """Push until the subscriber is gone.
+        """Push until the subscriber is gone or `close` was called.
 
         Raises
         ------
@@ -90,15 +97,14 @@
         """
         known = self._distribution.rosters_by_service
         self._changed_services.update(filter(self._wants, known))
-        while True:
+        while not self._closing:
             self._changed.clear()
             await self._send_configuration()
             await self._send_rosters()
             await self._send(Update(digest=self._digest()))
-            try:
-                await asyncio.wait_for(self._changed.wait(), DIGEST_INTERVAL)
-            except TimeoutError:
-                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(DIGEST_INTERVAL):
+                    await self._changed.wait()
 
     def _wants(self, service: str) -> bool:
         return self._services is None or service in self._services
@@ -188,4 +194,5 @@
         )
 
     async def _send(self, update: Update) -> None:
-        await asyncio.wait_for(self._stream.send_message(update), SEND_TIMEOUT)
+        async with asyncio.timeout(SEND_TIMEOUT):
+            await self._stream.send_message(update)
--- a/packages/zinniahook-daemon/tests/conftest.py
+++ b/packages/zinniahook-daemon/tests/conftest.py
@@ -41,18 +41,25 @@
 
     @contextlib.asynccontextmanager
     async def start(
-        self, name: str, *parents: Address, files: Files | None = None, service=""
+        self,
+        name: str,
+        *parents: Address,
+        files: Files | None = None,
+        service: str = "",
+        store: Address | None = None,
+        **control: int,
     ) -> AsyncIterator[Node]:
         """Start a node; an agent's if ``service`` is given."""
+        store = store or Address("127.0.0.1", closed_port())
         files = files or self.authority.issue(name)
         agent = AgentSettings(service, ANY_PORT, files.certificate, files.key)
         settings = Settings(
             role=Role.AGENT if service else Role.ENTRY,
             name=name,
             data_centre="thies-1",
-            store=StoreSettings((Address("127.0.0.1", closed_port()),), 0.2),
+            store=StoreSettings((store,), 2.0),
             tunnel=TunnelSettings(ANY_PORT),
-            control=ControlSettings(ANY_PORT, *files, parents=parents),
+            control=ControlSettings(ANY_PORT, *files, parents, **control),
             entry=EntrySettings(drain=0.0),
             agent=agent if service else None,
         )
--- /dev/null
+++ b/packages/zinniahook-daemon/tests/test_tree.py
@@ -0,0 +1,157 @@
+"""Many daemons that learn through few watches on a store."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+from zinniahook_core.models import Address, Service
+from zinniahook_daemon.announcements import read_daemons
+from zinniahook_daemon.trees import place
+from zinniahook_store import Store, configurations
+from zinniahook_testkit import stores
+
+TALLY = Service("tally", 1, Address("127.0.0.1", 7001))
+WATCHERS = 2
+DAEMONS = 9
+
+
+@pytest.fixture
+def store_process():
+    with stores.start() as process:
+        yield process
+
+
+async def commit(store: Store, *services: Service) -> int:
+    base = await configurations.read(store)
+    document = base.document._replace(
+        services_by_name={one.name: one for one in services}
+    )
+    outcome = await configurations.commit(
+        store, base, document, "operator", configurations.new_operation()
+    )
+    return outcome.generation
+
+
+class TestPlaces:
+    CANDIDATES = frozenset(f"10.0.0.{number}:9000" for number in range(200))
+
+    def places(self):
+        return {own: place(own, self.CANDIDATES, 2, 4) for own in self.CANDIDATES}
+
+    def test_few_watch(self):
+        watching = [own for own, one in self.places().items() if one.watches]
+        assert len(watching) == 2
+
+    def test_every_way_leads_to_a_watcher(self):
+        """Symptom: some daemons learn from each other and from nobody else.
+
+        Sequence: each picks its parents by itself from the same list.
+        Cause: without a common order, three of them may form a ring.
+        """
+        places = self.places()
+        for own in self.CANDIDATES:
+            seen = set()
+            ways = {own}
+            while ways:
+                assert not ways & seen or ways <= seen
+                seen |= ways
+                ways = {
+                    parent
+                    for way in ways
+                    if not places[way].watches
+                    for parent in places[way].parents
+                } - seen
+            assert any(places[one].watches for one in seen)
+
+    def test_children_are_bounded(self):
+        children: dict[str, int] = {}
+        for one in self.places().values():
+            if not one.watches:
+                children[one.parents[0]] = children.get(one.parents[0], 0) + 1
+        assert max(children.values()) <= 4
+
+    def test_leaves_spread(self):
+        first = {
+            place(f"10.1.0.{number}:9000", self.CANDIDATES, 2, 4).parents[0]
+            for number in range(200)
+        }
+        assert len(first) > 100
+
+
+class TestTree:
+    def test_a_watcher_is_replaced(self, nodes, store_process, eventually):
+        """Symptom: daemons miss every change after a watcher is gone.
+
+        Sequence: a change reaches all daemons through two watchers, one of
+        them stops, another change is made.
+        Cause: its children would wait for it, and nobody would take over.
+        """
+
+        async def run():
+            store = Store([store_process.address])
+            await commit(store, TALLY)
+            options = {
+                "store": Address.parse(store_process.address),
+                "watchers": WATCHERS,
+                "fan_out": 2,
+            }
+            async with contextlib.AsyncExitStack() as stack:
+                exits = {}
+                running = []
+                for number in range(DAEMONS):
+                    start = nodes.start(f"entry-{number}", **options)
+                    node = await stack.enter_async_context(start)
+                    exits[node] = start
+                    running.append(node)
+                    await eventually(lambda node=node: node.announcement.announced)
+                generation = await commit(store, TALLY._replace(drain=10.0))
+                await eventually(
+                    lambda: all(node.generation == generation for node in running)
+                )
+                # Those that came first followed the store until others came.
+                gone = next(node for node in running if node.distribution.watches)
+                await gone.stop()
+                running.remove(gone)
+                generation = await commit(store, TALLY._replace(drain=20.0))
+                await eventually(
+                    lambda: all(node.generation == generation for node in running)
+                )
+                daemons = await read_daemons(store, "thies-1")
+                assert set(daemons) == {node.settings.name for node in running}
+
+        asyncio.run(run())
+
+    def test_few_watches_are_open(self, nodes, store_process, eventually):
+        async def run():
+            store = Store([store_process.address])
+            await commit(store, TALLY)
+            options = {
+                "store": Address.parse(store_process.address),
+                "watchers": WATCHERS,
+                "fan_out": 2,
+            }
+            async with contextlib.AsyncExitStack() as stack:
+                first = [
+                    await stack.enter_async_context(
+                        nodes.start(f"entry-{number}", **options)
+                    )
+                    for number in range(WATCHERS)
+                ]
+                await eventually(
+                    lambda: all(one.announcement.announced for one in first)
+                )
+                rest = [
+                    await stack.enter_async_context(
+                        nodes.start(f"a-{number}", service="tally", **options)
+                    )
+                    for number in range(DAEMONS)
+                ]
+                await eventually(lambda: all(one.generation == 1 for one in rest))
+                assert all(one.distribution.depth == 2 for one in rest)
+                subscribers = [len(one.distribution.subscribers) for one in first]
+                assert sum(subscribers) == DAEMONS
+                assert store_process.state()["watches"] == WATCHERS
+
+        asyncio.run(run())
