--- a/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
@@ -316,7 +316,9 @@
             return
         done = result.outcome.kind is OutcomeKind.DONE
         answer = exchange.kept if done else b""
-        if done:
+        if not done:
+            self.node.count("agent.failed", code=result.outcome.code.name)
+        else:
             self._record(exchange)
             self._answer_joined(exchange, answer)
             self._forget(exchange)
