core: more faults in the state machine; two found and pinned

Cause: the machine knew no cut paths, broken targets, cancellations or very late messages, and didn't ask whether everybody gets an answer. Change: it does, and each caller must be answered within 20 s of mending everything. Found: (1) an owner left alone looked at no record: a request ran until its agent's drain deadline, the caller was told not run; (2) two agents relayed copies of one request to each other, each copy joined the relayed one, nobody was answered.

--- a/packages/zinniahook-core/tests/core_clusters.py
+++ b/packages/zinniahook-core/tests/core_clusters.py
@@ -15,6 +15,8 @@
 from zinniahook_core.routing import ConnectionIds, Owner
 
 TICK = 0.1
+LATE_SHARE = 0.03
+LATEST = 2.0
 
 
 class Cluster:
@@ -152,7 +154,9 @@
         for _ in range(copies):
             if self.rng.random() >= self.loss:
                 event = events.PeerDatagram(sender.name, effect.message)
-                self.later(peer.feed, event)
+                late = self.rng.random() < LATE_SHARE
+                delay = self.rng.uniform(0.001, LATEST if late else 0.02)
+                self.at(delay, peer.feed, event)
 
     def route(self, service, caller, payload):
         """Send a caller's datagram in by a random entry."""
@@ -242,6 +246,23 @@
         kept = {flow: owner for flow, owner in owners if owner[0] != node.name}
         self.owner_by_flow = kept
 
+    def settle(self):
+        """Mend everything, and let time pass until all must be answered."""
+        self.set_store(down=False)
+        self.store.losing = False
+        self.separate()
+        self.loss = 0.0
+        self.run(25.0)
+        for node in self.nodes.values():
+            for request in node.requests.values():
+                if (
+                    node.alive
+                    and not request.cancelled
+                    and self.now - request.arrived > 20.0
+                ):
+                    found = f"{request.key} {request.attempt} unanswered at {node.name}"
+                    self.violations.append(found)
+
     def broken(self):
         """Return every violated promise so far."""
         found = list(self.violations)
--- a/packages/zinniahook-core/tests/core_fakes.py
+++ b/packages/zinniahook-core/tests/core_fakes.py
@@ -90,6 +90,7 @@
     attempt: int
     arrived: float
     origin: tuple["Node", int] | None = None
+    cancelled: bool = False
     followers: list[int] = field(default_factory=list)
 
 
@@ -107,6 +108,7 @@
         self.alive, self.paused = True, False
         self.inbox = []
         self.leaving_since = None
+        self.target = "sound"
         self.flows_by_id = {}
         self.requests = {}
         self.generation = 0
@@ -144,7 +146,9 @@
         return self.cluster.numbers
 
     def feed_request(self, number, relayed_by):
-        request = self.requests[number]
+        request = self.requests.get(number)
+        if request is None:
+            return
         deadline = self.cluster.now + 8.0
         self.feed(
             events.RequestArrived(
@@ -159,6 +163,8 @@
             return
         for follower in request.followers:
             self.conclude(follower, kind, answer)
+        if request.cancelled:
+            return
         if request.origin is None:
             told = Told(request.key, request.attempt, kind, answer)
             self.cluster.told.append(told)
@@ -179,11 +185,33 @@
         request = self.requests.get(number)
         if request is None or core is not self.core or not self.alive:
             return
+        if self.target == "fails":
+            failed = Outcome(OutcomeKind.UNKNOWN, Code.TARGET_FAILED)
+            self.feed(events.RequestFinished(number, failed, True))
+            return
         answer = answer_of(request.key)
         done = Outcome(OutcomeKind.DONE, Code.OK)
         self.feed(events.RequestFinished(number, done, True, answer))
         self.conclude(number, OutcomeKind.DONE, answer)
 
+    def target_refused(self, number):
+        """Answer as a target whose port accepts nothing."""
+        refused = Outcome(OutcomeKind.NOT_RUN, Code.TARGET_FAILED, 1.0)
+        self.feed(events.RequestFinished(number, refused, False))
+
+    def cancel(self, number):
+        """Let the caller, or the agent that relayed the request, go."""
+        request = self.requests.get(number)
+        if request is not None and not request.cancelled:
+            request.cancelled = True
+            self.feed(events.RequestCancelled(number))
+
+    def on_cancelrequest(self, effect):
+        for node in self.cluster.nodes.values():
+            for number, request in node.requests.items():
+                if request.origin == (self, effect.request):
+                    self.cluster.later(node.cancel, number)
+
     def on_sendpeer(self, effect):
         self.cluster.send_peer(self, effect)
 
@@ -220,7 +248,12 @@
 
     def on_run(self, effect):
         request = self.requests[effect.request]
+        if self.target == "refuses":
+            self.cluster.later(self.target_refused, effect.request)
+            return
         self.cluster.executed(self, request)
+        if self.target == "hangs":
+            return
         seconds = self.cluster.rng.choice((0.05, 0.3, 2.5))
         self.cluster.at(seconds, self.target_ended, effect.request, self.core)
 
--- a/packages/zinniahook-core/tests/test_agents.py
+++ b/packages/zinniahook-core/tests/test_agents.py
@@ -146,6 +146,63 @@
         assert cluster.broken() == []
 
 
+class TestLastAgent:
+    def test_grant_to_an_agent_that_left_is_not_forgotten(self):
+        """Symptom: a ticket runs twice, or a caller is wrongly told "not run".
+
+        Sequence: one of two agents runs tickets until its drain deadline
+        cuts them; the callers ask again at the other, which is now alone.
+        Cause: with nobody left to ask, the owner of the claims looked at no
+        record, not even its own.
+        """
+        cluster = Cluster(5, {"tally": 2})
+        leaving, staying = cluster.live("tally")
+        leaving.target = "hangs"
+        while len(cluster.connections) < 20:
+            cluster.connect("tally")
+            cluster.run(0.1)
+        at_leaving = [c for c in cluster.connections if c[1] == leaving.name]
+        at_staying = [c for c in cluster.connections if c[1] == staying.name]
+        keys = [b"ticket %d" % number for number in range(10)]
+        for key in keys:
+            cluster.request(at_leaving[0], key, 1)
+        cluster.run(1.0)
+        ran = {run.key for run in cluster.executions if run.node == leaving.name}
+        assert ran
+        cluster.drain(leaving, seconds=4.0)
+        cluster.run(8.0)
+        assert not leaving.alive
+        for key in ran:
+            cluster.request(at_staying[0], key, 2)
+        cluster.run(10.0)
+        again = {told.kind for told in cluster.told if told.attempt == 2}
+        assert again == {OutcomeKind.UNKNOWN}
+        assert cluster.broken() == []
+
+
+class TestCopies:
+    def test_copies_relayed_to_each_other_are_answered(self):
+        """Symptom: both copies of a ticket wait until their callers give up.
+
+        Sequence: two agents get a copy each at the same moment, and each
+        finds the other less loaded and relays its copy to it.
+        Cause: each relayed copy joined the one that was relayed away.
+        """
+        cluster = Cluster(6, {"tally": 3})
+        while len(cluster.connections) < 20:
+            cluster.connect("tally")
+            cluster.run(0.1)
+        one, other = cluster.live("tally")[:2]
+        for node, peer in ((one, other), (other, one)):
+            node.core.placement.choose_for_request = lambda *_, name=peer.name: name
+        for number, node in enumerate((one, other)):
+            mine = next(c for c in cluster.connections if c[1] == node.name)
+            cluster.request(mine, b"ticket", number + 1)
+        cluster.run(10.0)
+        assert [told.kind for told in cluster.told] == [OutcomeKind.DONE] * 2
+        assert len(cluster.executions) == 1
+
+
 class TestPaths:
     ENTRIES = [Address("10.2.0.1", 7000 + number) for number in range(4)]
 
--- a/packages/zinniahook-core/tests/test_machine.py
+++ b/packages/zinniahook-core/tests/test_machine.py
@@ -19,6 +19,7 @@
 from zinniahook_core import (
     agents,
     claims,
+    effects,
     entries,
     events,
     homes,
@@ -33,6 +34,7 @@
 MOST_AGENTS = 6
 FLOWS = 6
 REQUEST_SERVICES = ("tally", "ledger")
+TARGETS = ("sound", "refuses", "fails")
 DELAYS = (0.0, 0.02, 0.4, 3.0, 12.0)
 QUIET = (
     HealthCheck.too_slow,
@@ -67,6 +69,10 @@
     def pass_time(self, seconds):
         self.cluster.run(seconds)
 
+    def teardown(self):
+        self.cluster.settle()
+        self.promises_hold()
+
     # Callers
 
     @rule(service=service)
@@ -171,6 +177,31 @@
             node.stop()
             self.cluster.join("feed", node.name)
 
+    @rule(which=index, service=service, seconds=st.sampled_from((2.0, 8.0, 20.0)))
+    def cut_off(self, which, service, seconds):
+        """Separate one agent from its peers; callers still reach it."""
+        if nodes := self.cluster.live(service):
+            alone = self.pick(nodes, which)
+            others = [node for node in nodes if node is not alone]
+            self.cluster.separate([alone], others)
+            self.cluster.at(seconds, self.cluster.separate)
+
+    @rule(which=index)
+    def break_target(self, which):
+        """Let the requests of one target fail, before or after their start."""
+        nodes = self.cluster.live("tally") + self.cluster.live("ledger")
+        if nodes:
+            self.pick(nodes, which).target = self.cluster.rng.choice(TARGETS)
+
+    @precondition(lambda self: self.attempts_by_key)
+    @rule(which=index)
+    def cancel(self, which):
+        """Let a caller give up on a request in progress."""
+        for node in self.cluster.live("tally") + self.cluster.live("ledger"):
+            direct = [n for n, held in node.requests.items() if not held.origin]
+            for number in direct[: which % 3]:
+                node.cancel(number)
+
     @rule(down=st.booleans())
     def store(self, down):
         self.cluster.set_store(down)
@@ -250,6 +281,12 @@
     return []
 
 
+def lose_joins(self, now, event):
+    """Forget to give a copy that joined another its answer."""
+    found = sound_handle(self, now, event)
+    return [one for one in found if not isinstance(one, effects.JoinRequest)]
+
+
 def never(self, now, flow):
     """Take every flow of this home for a new one."""
     return False
@@ -267,6 +304,7 @@
 
 
 sound_drain = agents._HANDLERS_BY_EVENT[events.DrainRequested]
+sound_handle = agents.AgentCore.handle
 sound_route = entries.EntryCore.route
 
 
@@ -283,6 +321,10 @@
         monkeypatch.setattr(requests.Requests, "_refuse", refuse_without_tombstone)
         self.catches("ran, though told not")
 
+    def test_copy_that_is_never_answered(self, monkeypatch):
+        monkeypatch.setattr(agents.AgentCore, "handle", lose_joins)
+        self.catches("unanswered")
+
     def test_packet_that_crosses_services(self, monkeypatch):
         monkeypatch.setattr(entries.EntryCore, "route", route_by_owner_alone)
         self.catches("packet at")
