--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -37,3 +37,15 @@
     def test_links_between_pages_lead_somewhere(self, page):
         links = re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", page.read_text())
         assert [one for one in links if not (page.parent / one).exists()] == []
+
+
+class TestMetrics:
+    def test_every_counter_of_the_page_is_in_the_code(self):
+        sources = [
+            path.read_text()
+            for path in (DOCS.parent / "packages").glob("*/src/**/*.py")
+        ]
+        text = (DOCS / "operators" / "metrics.md").read_text()
+        names = re.findall(r"^\| `([a-z_]+\.[a-z_]+)` \|", text, re.MULTILINE)
+        assert len(names) > 30
+        assert [name for name in names if not any(name in one for one in sources)] == []
