Test that a drain lets the rest of an answer out

An agent that leaves closes a connection while the last bytes of an answer that its target has finished are still on their way: traffic.close_idle looks at open requests only, not at unsent or unacknowledged data.

--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -216,6 +216,40 @@
         deployed.run(check(deployed.cluster))
 
 
+class TestDrain:
+    def test_the_rest_of_an_answer_still_goes_out(self, fresh):
+        """A planned stop cuts a ledger whose last bytes are on their way.
+
+        Symptom: a regulator's ledger ends early when a target is replaced.
+        Sequence: the target has written all of a ledger and the agent still
+        holds the rest, as the path is long; the agent is told to leave.
+        Cause: a connection counted as idle once its target had finished.
+        """
+
+        async def check(cluster):
+            await cluster.control_fabric("faults", {"latency": 0.25})
+            async with session(cluster, "ledger") as caller:
+                path = "/ledger?size=200000"
+                reading = asyncio.create_task(caller.get(path, deadline=12))
+
+                async def target_done():
+                    return any(
+                        ledger["counts"].get("finished_export")
+                        for ledger in await cluster.ledgers()
+                    )
+
+                await cluster.until(target_done, "the target has finished")
+                # One has the caller's connection, perhaps another the target.
+                for name in ("ledger-1", "ledger-2"):
+                    cluster.drain_agent(name)
+                answer = await reading
+                assert (answer.attempts, caller.cuts) == (1, 0)
+                digest = hashlib.sha256(answer.content).hexdigest()
+                assert digest == export_digest("ledger", 200_000)
+
+        fresh.run(check(fresh.cluster))
+
+
 class TestSilence:
     def test_feed_goes_on_from_a_new_port(self, deployed):
         """An open feed goes silent for good while new ones work.
