--- a/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
@@ -9,8 +9,9 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
+from time import monotonic
 from typing import Any
 
 from zinniahook_core.codes import Code
@@ -25,6 +26,9 @@
 
 __all__ = ["Entry", "serve"]
 
+TO_AGENT = TunnelKind.TO_AGENT
+TO_CALLER = TunnelKind.TO_CALLER
+
 TICK = 0.1
 """Seconds between the ticks of the core."""
 
@@ -84,6 +88,9 @@
         self._counters = node.metrics.counters_by_name
         self._sockets_by_number: dict[int, ServiceSocket] = {}
         self._refused: set[int] = set()
+        self._send = node.tunnel_sender
+        self._encode: Callable[[TunnelDatagram], bytes]
+        self._generation = 0
         node.on_tunnel(self._answer)
         node.on_configuration(self._configure)
         node.on_roster(self._learn_roster)
@@ -100,30 +107,31 @@
 
     def forward(self, socket: ServiceSocket, payload: bytes, source: tuple) -> None:
         """Route a caller's datagram; the packet path."""
-        node = self._node
         if len(payload) > LONGEST_PAYLOAD:
             self._drop(Code.DATAGRAM_TOO_LONG)
             return
         caller = Address(source[0], source[1])
         service = socket.service
-        agent = self._core.route(node.now(), service, caller, payload)
+        agent = self._core.route(monotonic(), service, caller, payload)
         if isinstance(agent, Code):
             self._drop(agent)
             return
-        self._counters["entry.to_agents"] += 1
-        node.send_tunnel(
-            agent,
+        data = self._encode(
             TunnelDatagram(
-                TunnelKind.TO_AGENT,
+                TO_AGENT,
                 service.number,
-                node.generation,
+                self._generation,
                 0,
                 False,
                 caller,
                 NO_ADDRESS,
                 payload,
-            ),
+            )
         )
+        if not self._send(data, agent):
+            self._drop(Code.SOCKET_FULL)
+            return
+        self._counters["entry.to_agents"] += 1
 
     def close(self) -> None:
         """Release every service address."""
@@ -133,7 +141,7 @@
 
     def _answer(self, datagram: TunnelDatagram, source: Address) -> None:
         """Send an agent's answer out of the service's address."""
-        if datagram.kind is not TunnelKind.TO_CALLER:
+        if datagram.kind is not TO_CALLER:
             self._drop(Code.TUNNEL_MALFORMED)
             return
         socket = self._sockets_by_number.get(datagram.service)
@@ -145,14 +153,17 @@
             return
         self._counters["entry.to_callers"] += 1
         name = socket.service.name
-        self._execute(
-            self._core.answered(self._node.now(), name, datagram.caller, source)
-        )
+        effects = self._core.answered(monotonic(), name, datagram.caller, source)
+        if effects:
+            self._execute(effects)
 
     def _drop(self, code: Code) -> None:
         self._counters[f"entry.dropped.{code.name}"] += 1
 
     def _configure(self, configuration: Configuration) -> None:
+        # Kept here for the packet path, where each look-up counts.
+        self._encode = self._node.tunnel.encode
+        self._generation = configuration.generation
         self._handle(ConfigurationChanged(configuration))
         services_by_number = {
             service.number: service
@@ -210,7 +221,7 @@
         self._handle(Tick())
 
     def _handle(self, event: Any) -> None:
-        self._execute(self._core.handle(self._node.now(), event))
+        self._execute(self._core.handle(monotonic(), event))
 
     def _execute(self, effects: Iterable[EntryEffect]) -> None:
         for effect in effects:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
@@ -52,6 +52,10 @@
     control : ControlServer
     metrics : Metrics
     certificates : Certificates
+    tunnel : Tunnel or None
+        Under the keys in force; None before the first configuration.
+    generation : int
+        Number of the configuration in force here; 0 before the first.
     loop : asyncio.AbstractEventLoop
     stopping : asyncio.Event
         Set when the process should stop gracefully (SIGTERM or a drain).
@@ -70,6 +74,7 @@
         self.certificates = Certificates(settings.control)
         self.store = Store(settings.store.addresses, settings.store.timeout)
         self.tunnel: Tunnel | None = None
+        self.generation = 0
         self.tunnel_address = settings.tunnel.address
         self.control_address = settings.control.address
         self.relay_handler: Callable[[Any], Awaitable[None]] | None = None
@@ -90,12 +95,6 @@
         """The configuration in force here, or None before the first."""
         return self.distribution.configuration
 
-    @property
-    def generation(self) -> int:
-        """Number of the configuration in force here; 0 before the first."""
-        configuration = self.distribution.configuration
-        return configuration.generation if configuration else 0
-
     async def start(self) -> None:
         """Bind the tunnel and the control server, start to learn.
 
@@ -158,6 +157,11 @@
         if not self._socket.send(self.tunnel.encode(datagram), address):
             self.count("tunnel.dropped", code=Code.SOCKET_FULL.name)
 
+    @property
+    def tunnel_sender(self) -> Callable[[bytes, Address], bool]:
+        """What sends encoded tunnel datagrams; False if one was lost."""
+        return self._socket.send
+
     def on_tunnel(self, callback: DatagramCallback) -> None:
         """Call back with each authenticated tunnel datagram and its source."""
         self._receivers.append(callback)
@@ -172,9 +176,8 @@
             return
         if datagram.generation > self.generation:
             self.distribution.suspect(datagram.generation)
-        address = Address(source[0], source[1])
         for callback in self._receivers:
-            callback(datagram, address)
+            callback(datagram, Address(source[0], source[1]))
 
     # Configuration and rosters
 
@@ -192,6 +195,7 @@
 
     def configuration_changed(self, configuration: Configuration) -> None:
         """Put a new configuration in force (called by the distribution)."""
+        self.generation = configuration.generation
         self.tunnel = Tunnel(
             configuration.tunnel_keys_by_number, configuration.tunnel_key
         )
