--- a/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
@@ -11,7 +11,9 @@
 import contextlib
 import random
 import ssl
+import sys
 import time
+import zlib
 from typing import TYPE_CHECKING
 
 from grpclib.server import Stream
@@ -22,6 +24,7 @@
 from zinniahook_core.models import Address, Configuration, Roster
 from zinniahook_wire import documents
 from zinniahook_wire.control_pb2 import SubscribeRequest, Update
+from zinniahook_wire.tunnels import NO_ADDRESS
 
 from . import trees
 from .announcements import read_daemons
@@ -75,7 +78,8 @@
     configuration : Configuration or None
         The generation in force here.
     rosters_by_service : dict of str to Roster
-        The newest roster known of each service that matters here.
+        The newest roster known of each service that matters here. At an
+        entry its members have no control and target address.
     generations : Generations
         The values that the configuration was made from.
     learned : asyncio.Event
@@ -110,6 +114,7 @@
         self._in_force_at = 0.0
         self._suspected_at = -float("inf")
         self._failures_by_source: dict[str, str] = {}
+        self._values_by_service: dict[str, bytes] = {}
         self._subscriptions: set[Subscription] = set()
         self._task: asyncio.Task | None = None
 
@@ -207,17 +212,36 @@
         for subscription in self._subscriptions:
             subscription.changed()
 
-    def take_roster(self, roster: Roster) -> None:
-        """Take a roster if it is newer than the one known."""
-        known = self.rosters_by_service.get(roster.service)
-        if not self.wants(roster.service) or (
+    def take_roster(self, roster: Roster, value: bytes = b"") -> None:
+        """Take a roster if it is newer than the one known.
+
+        Parameters
+        ----------
+        roster : Roster
+            As decoded.
+        value : bytes
+            As stored; empty if it isn't at hand or was deleted.
+        """
+        service = roster.service
+        known = self.rosters_by_service.get(service)
+        if not self.wants(service) or (
             known is not None and known.revision >= roster.revision
         ):
             return
-        self.rosters_by_service[roster.service] = roster
+        if self.generations.services is None:
+            self._values_by_service[service] = zlib.compress(value)
+            roster = _routable(roster)
+        self.rosters_by_service[service] = roster
         self._node.roster_changed(roster)
         for subscription in self._subscriptions:
-            subscription.roster_changed(roster.service)
+            subscription.roster_changed(service)
+
+    def roster_value(self, service: str) -> bytes:
+        """Return a known roster as stored; empty if it was deleted."""
+        if self.generations.services is None:
+            return zlib.decompress(self._values_by_service[service])
+        roster = self.rosters_by_service[service]
+        return documents.roster_to_json(roster) if roster.by_name else b""
 
     def unusable(self, what: str, error: ZinniahookError) -> None:
         """Note a stored value that couldn't be read."""
@@ -363,3 +387,21 @@
         if roster.revision:
             self.take_roster(roster)
         return roster
+
+
+def _routable(roster: Roster) -> Roster:
+    """Return a roster with what routing needs, in little memory.
+
+    An entry holds tens of thousands of members; whole ones would take twice
+    the memory. What is left out stays in the stored value.
+    """
+    return roster._replace(
+        by_name={
+            name: member._replace(
+                control=NO_ADDRESS,
+                target=NO_ADDRESS,
+                data_centre=sys.intern(member.data_centre),
+            )
+            for name, member in roster.by_name.items()
+        }
+    )
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
@@ -58,19 +58,15 @@
     entry.close()
 
 
-class ServiceSocket:
+class ServiceSocket(UdpSocket):
     """The socket of one service address, as the entry binds it."""
 
+    __slots__ = ("bound", "service")
+
     def __init__(self, entry: Entry, service: Service, address: Address) -> None:
         self.service = service
         self.bound = address
-        self._socket = UdpSocket(address, partial(entry.forward, self))
-        self.send = self._socket.send
-        self.address = self._socket.address
-
-    def close(self) -> None:
-        """Release the address."""
-        self._socket.close()
+        super().__init__(address, partial(entry.forward, self))
 
 
 class Entry:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/origin.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/origin.py
@@ -134,7 +134,7 @@
             roster = Roster(service, change.revision, {})
         else:
             roster = documents.roster_from_json(service, change.revision, change.value)
-        self._distribution.take_roster(roster)
+        self._distribution.take_roster(roster, change.value or b"")
 
     async def _complete(self) -> None:
         """Read what the generations of the pointer still need."""
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
@@ -157,7 +157,7 @@
             )
         else:
             roster = Roster(update.service, update.revision, {})
-        self._distribution.take_roster(roster)
+        self._distribution.take_roster(roster, update.value)
 
     def _check(self, digest: Digest) -> None:
         """Compare what the parent has with what came from it.
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/sockets.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/sockets.py
@@ -37,6 +37,9 @@
         If the address can't be bound.
     """
 
+    # An entry has one for each of thousands of services.
+    __slots__ = ("_loop", "_receive", "_socket", "address")
+
     def __init__(
         self, address: Address, receive: Callable[[bytes, tuple], None]
     ) -> None:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/subscriptions.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/subscriptions.py
@@ -9,7 +9,6 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
-from zinniahook_wire import documents
 from zinniahook_wire.control_pb2 import (
     ConfigurationUpdate,
     Digest,
@@ -179,7 +178,7 @@
             update = RosterUpdate(
                 service=service,
                 revision=roster.revision,
-                value=documents.roster_to_json(roster) if roster.by_name else b"",
+                value=self._distribution.roster_value(service),
             )
             await self._send(Update(roster=update))
             self._revisions_by_service[service] = roster.revision
--- a/packages/zinniahook-daemon/tests/conftest.py
+++ b/packages/zinniahook-daemon/tests/conftest.py
@@ -70,15 +70,22 @@
         finally:
             await node.stop()
 
-    def commit(self, node: Node, generation: int, *services: Service) -> None:
+    def commit(
+        self,
+        node: Node,
+        generation: int,
+        *services: Service,
+        pointer: Pointer | None = None,
+    ) -> None:
         """Hand a generation to a node, as the store would."""
+        pointer = pointer or Pointer(generation, "op")
         parts = self.parts(generation, *services)
         generations = node.distribution.generations
         generations.add_manifest(documents.manifest_to_json(parts.manifest))
         generations.add_values(
             {key.rpartition("/")[2]: one for key, one in parts.values_by_key.items()}
         )
-        generations.point(documents.pointer_to_json(Pointer(generation, "op")))
+        generations.point(documents.pointer_to_json(pointer))
         node.distribution.apply()
 
     def parts(self, generation: int, *services: Service) -> Parts:
--- a/packages/zinniahook-daemon/tests/test_distribution.py
+++ b/packages/zinniahook-daemon/tests/test_distribution.py
@@ -30,6 +30,11 @@
     return Roster(service, revision, members)
 
 
+def take(node, roster: Roster) -> None:
+    """Hand a roster to a node, as the store would."""
+    node.distribution.take_roster(roster, documents.roster_to_json(roster))
+
+
 class TestLearningFromParents:
     def test_a_restarted_daemon_learns_with_the_store_down(self, nodes, eventually):
         """Symptom: a daemon restarted during an outage of the store stays idle.
@@ -41,7 +46,7 @@
         async def run():
             async with nodes.start("parent") as parent:
                 nodes.commit(parent, 3, TALLY, LEDGER)
-                parent.distribution.take_roster(roster("tally", 8, "a", "b"))
+                take(parent, roster("tally", 8, "a", "b"))
                 async with nodes.start("child", parent.control_address) as child:
                     await asyncio.wait_for(child.ready(), 20)
                     assert child.generation == 3
@@ -62,7 +67,7 @@
                 nodes.commit(parent, 2, TALLY, LEDGER)
                 await eventually(lambda: child.generation == 2)
                 assert set(child.configuration.services_by_name) == {"tally", "ledger"}
-                parent.distribution.take_roster(roster("ledger", 5, "c"))
+                take(parent, roster("ledger", 5, "c"))
                 await nodes_agree(parent, child)
 
         asyncio.run(run())
@@ -71,8 +76,8 @@
         async def run():
             async with nodes.start("parent") as parent:
                 nodes.commit(parent, 1, TALLY, LEDGER)
-                parent.distribution.take_roster(roster("ledger", 4, "c"))
-                parent.distribution.take_roster(roster("tally", 5, "a"))
+                take(parent, roster("ledger", 4, "c"))
+                take(parent, roster("tally", 5, "a"))
                 start = nodes.start("a", parent.control_address, service="tally")
                 async with start as agent:
                     await eventually(lambda: agent.distribution.rosters_by_service)
@@ -130,6 +135,31 @@
         asyncio.run(run())
 
 
+class TestStagedRollout:
+    def test_each_stage_reaches_whom_it_names(self, nodes, eventually):
+        """Symptom: a risky change is in force where it should not be yet.
+
+        Sequence: it is rolled out to one instance, which passes it on to the
+        daemons that learn from it; then the rollout goes on to all.
+        Cause: a daemon would put in force whatever its parent has.
+        """
+
+        async def run():
+            async with nodes.start("parent") as parent:
+                nodes.commit(parent, 1, TALLY)
+                first = Pointer(2, "op", 1, ("parent",))
+                nodes.commit(parent, 2, TALLY, LEDGER, pointer=first)
+                assert parent.generation == 2
+                async with nodes.start("child", parent.control_address) as child:
+                    await asyncio.wait_for(child.ready(), 20)
+                    assert child.generation == 1
+                    assert child.distribution.generations.pointer == first
+                    nodes.commit(parent, 2, TALLY, LEDGER)
+                    await eventually(lambda: child.generation == 2)
+
+        asyncio.run(run())
+
+
 class TestNeverBack:
     def test_a_lower_generation_is_refused(self, nodes):
         """Symptom: an accepted change reverts on a daemon.
@@ -150,8 +180,8 @@
     def test_a_lower_revision_is_refused(self, nodes):
         async def run():
             async with nodes.start("node") as node:
-                node.distribution.take_roster(roster("tally", 5, "a"))
-                node.distribution.take_roster(roster("tally", 4, "b"))
+                take(node, roster("tally", 5, "a"))
+                take(node, roster("tally", 4, "b"))
                 known = node.distribution.rosters_by_service["tally"]
                 assert set(known.by_name) == {"a"}
 
@@ -243,7 +273,7 @@
         async def run():
             async with nodes.start("entry-1") as node:
                 nodes.commit(node, 4, TALLY)
-                node.distribution.take_roster(roster("tally", 9, "a"))
+                take(node, roster("tally", 9, "a"))
                 node.count("entry.dropped", code=Code.NO_AGENT.name)
                 node.histogram("tally", "ticket").record(0.25)
                 request = StatusRequest(counters=True, rosters=True)
@@ -271,7 +301,7 @@
     def test_the_last_target_is_not_drained_unforced(self, nodes):
         async def run():
             async with nodes.start("a", service="tally") as node:
-                node.distribution.take_roster(roster("tally", 9, "a"))
+                take(node, roster("tally", 9, "a"))
                 drained = []
                 node.on_drain(drained.append)
                 reply = await call(node, "Drain", DrainRequest(seconds=3))
--- a/packages/zinniahook-daemon/tests/test_entry.py
+++ b/packages/zinniahook-daemon/tests/test_entry.py
@@ -246,23 +246,25 @@
 
         async def run():
             async with bench_of(nodes, Protocol.QUIC) as bench:
-                sent = []
-                bench.entry._sockets_by_number[1].send = lambda *one: sent.append(one)
+                source = tuple(bench.caller.address)
 
                 @given(st.binary(max_size=1400))
                 @settings(max_examples=200, deadline=None, database=None)
                 def fuzz(data):
                     socket = bench.entry._sockets_by_number[1]
-                    bench.entry.forward(socket, data, ("127.0.0.1", 9))
-                    bench.node._receive(data, ("127.0.0.1", 9))
+                    bench.entry.forward(socket, data, source)
+                    bench.node._receive(data, source)
 
                 fuzz()
                 bench.entry.forward(
                     bench.entry._sockets_by_number[1],
                     bytes(LONGEST_PAYLOAD + 1),
-                    ("127.0.0.1", 9),
+                    source,
                 )
-                assert sent == []
+                # The first datagram that comes is one that should.
+                bench.answer(b"an answer")
+                data, _ = await bench.caller.get()
+                assert data == b"an answer"
                 counters = bench.node.metrics.counters_by_name
                 assert counters[f"entry.dropped.{Code.DATAGRAM_TOO_LONG.name}"] == 1
                 assert counters[f"entry.dropped.{Code.DATAGRAM_MALFORMED.name}"] > 0
