--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/connections.py
@@ -0,0 +1,191 @@
+"""What an open QUIC connection and a new one cost an agent.
+
+The same callers open the same connections to an agent, by way of a fabric and
+an entry, and to a server made of aioquic's own classes. Each asks for a small
+answer and stays open. Memory is the growth of the serving process, work is
+its processor time. Run ``python -m zinniahook_testkit.connections plain
+CERTIFICATE KEY`` for the plain server alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import ssl
+import sys
+import tempfile
+from collections.abc import Sequence
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from aioquic.asyncio.client import connect
+from aioquic.asyncio.protocol import QuicConnectionProtocol
+from aioquic.asyncio.server import serve
+from aioquic.h3.connection import H3Connection
+from aioquic.h3.events import HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.events import QuicEvent
+from zinniahook_core.models import Address, RequestClass
+
+from .clusters import Cluster
+from .deployments import Deployment, ServicePlan
+from .processes import Process, start
+from .scenarios import Figure, scenario
+
+__all__ = ["Cost", "measure"]
+
+PATH = "/ledger?size=1000"
+AT_A_TIME = 8
+WARMING = 16
+IDLE_TIMEOUT = 300.0
+
+PLAN = ServicePlan(
+    name="ledger",
+    number=1,
+    targets=1,
+    slots=64,
+    classes=(RequestClass("export", "/ledger", queue=1024),),
+)
+DEPLOYMENT = Deployment("connections", ("thies-1",), 1, 0.0, (PLAN,))
+
+
+class Cost(NamedTuple):
+    """What one connection costs: bytes while open, seconds of processor."""
+
+    memory: float
+    processor: float
+
+
+class Client(QuicConnectionProtocol):
+    """An ordinary HTTP/3 client."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._http = H3Connection(self._quic)
+        self._ended = asyncio.Event()
+        self._status = b""
+
+    def quic_event_received(self, event: QuicEvent) -> None:
+        """Take an event of the connection."""
+        for http_event in self._http.handle_event(event):
+            if isinstance(http_event, HeadersReceived):
+                self._status = dict(http_event.headers)[b":status"]
+            if http_event.stream_ended:
+                self._ended.set()
+
+    async def get(self) -> bytes:
+        """Return the status of the answer."""
+        names = {":method": "GET", ":scheme": "https", ":authority": "localhost"}
+        headers = {**names, ":path": PATH}.items()
+        stream_id = self._quic.get_next_available_stream_id()
+        pairs = [(name.encode(), value.encode()) for name, value in headers]
+        self._http.send_headers(stream_id, pairs, end_stream=True)
+        self.transmit()
+        await self._ended.wait()
+        return self._status
+
+
+class PlainServer(QuicConnectionProtocol):
+    """Answers each request with a thousand bytes."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._http: H3Connection | None = None
+
+    def quic_event_received(self, event: QuicEvent) -> None:
+        """Answer a request."""
+        self._http = self._http or H3Connection(self._quic)
+        for http_event in self._http.handle_event(event):
+            if isinstance(http_event, HeadersReceived):
+                stream_id = http_event.stream_id
+                self._http.send_headers(stream_id, [(b":status", b"200")])
+                self._http.send_data(stream_id, bytes(1000), end_stream=True)
+                self.transmit()
+
+
+async def _open(address: Address, count: int, stack: AsyncExitStack) -> None:
+    """Open connections that last until the stack closes."""
+    limit = asyncio.Semaphore(AT_A_TIME)
+    configuration = QuicConfiguration(
+        alpn_protocols=["h3"], verify_mode=ssl.CERT_NONE, idle_timeout=IDLE_TIMEOUT
+    )
+
+    async def one() -> None:
+        async with limit:
+            client = await stack.enter_async_context(
+                connect(*address, configuration=configuration, create_protocol=Client)
+            )
+            status = await client.get()
+            if status != b"200":
+                raise RuntimeError(f"a request ended with status {status!r}")
+
+    await asyncio.gather(*(one() for _ in range(count)))
+
+
+async def cost(process: Process, address: Address, count: int) -> Cost:
+    """Measure one serving process over ``count`` new connections."""
+    async with AsyncExitStack() as stack:
+        await _open(address, WARMING, stack)
+        memory, processor = process.resident(), process.processor_time()
+        await _open(address, count, stack)
+        return Cost(
+            (process.resident() - memory) / count,
+            (process.processor_time() - processor) / count,
+        )
+
+
+async def _measure(count: int) -> tuple[Cost, Cost]:
+    with tempfile.TemporaryDirectory() as folder:
+        async with Cluster(DEPLOYMENT, Path(folder)) as cluster:
+            address = Address.parse(cluster.addresses_by_service[PLAN.name])
+            agent = await cost(cluster.agents_by_name["ledger-1"], address, count)
+            files = cluster.authority.issue("plain")
+        arguments = ("plain", files.certificate, files.key)
+        with start("zinniahook_testkit.connections", *arguments) as process:
+            address = Address.parse(process.ready["address"])
+            return agent, await cost(process, address, count)
+
+
+@scenario("agent-connections")
+def measure(count: int = 300) -> list[Figure]:
+    """Compare an agent's connections with those of a plain aioquic server."""
+    agent, plain = asyncio.run(_measure(count))
+    return [
+        Figure("bytes per open connection", agent.memory, "B"),
+        Figure("bytes per open connection, plain aioquic", plain.memory, "B"),
+        Figure("memory against plain aioquic", agent.memory / plain.memory, "ratio"),
+        Figure("processor per connection", agent.processor, "s"),
+        Figure("new connections on one core", 1 / agent.processor, "1/s"),
+        Figure(
+            "processor against plain aioquic",
+            agent.processor / plain.processor,
+            "ratio",
+        ),
+    ]
+
+
+async def _serve_plain(certificate: str, key: str) -> None:
+    configuration = QuicConfiguration(
+        alpn_protocols=["h3"], is_client=False, idle_timeout=IDLE_TIMEOUT
+    )
+    configuration.load_cert_chain(certificate, key)
+    server = await serve(
+        "127.0.0.1", 0, configuration=configuration, create_protocol=PlainServer
+    )
+    host, port = server._transport.get_extra_info("sockname")[:2]
+    print(json.dumps({"ready": {"address": f"{host}:{port}"}}), flush=True)
+    await asyncio.Event().wait()
+
+
+def main(arguments: Sequence[str]) -> None:
+    """Run the plain server, or print the figures."""
+    if arguments[:1] == ["plain"]:
+        asyncio.run(_serve_plain(*arguments[1:]))
+        return
+    for figure in measure():
+        print(f"{figure.name}: {figure.value:.4g} {figure.unit}")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
