Find entries by their announcements; outlast an outage while waiting

Cause: an outage of the store just after a commit turned the answer into an error, and entries had to be listed in the client's settings. Change: the wait goes on with the daemons known so far; the list of daemons comes from the store alone; a test of an outage during a rollout.

--- a/packages/zinniahook-cli/src/zinniahook_cli/daemons.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/daemons.py
@@ -81,11 +81,6 @@
         self._context: ssl.SSLContext | None = None
         self._limit = asyncio.Semaphore(CALLS_LIMIT)
 
-    @property
-    def listed(self) -> tuple[Address, ...]:
-        """Control addresses from the settings."""
-        return self._settings.daemons
-
     async def survey(
         self,
         controls: Iterable[Address],
--- a/packages/zinniahook-cli/src/zinniahook_cli/fleets.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/fleets.py
@@ -39,6 +39,12 @@
             for _, member in sorted(roster.by_name.items())
         )
 
+    @property
+    def controls(self) -> tuple[Address, ...]:
+        """Control addresses of all daemons that were asked."""
+        silent = (one.control for one in self.survey.silent)
+        return (*self.survey.answers_by_control, *silent)
+
     @property
     def unlisted(self) -> tuple[str, ...]:
         """Daemons that learn from others but that nothing tells how to reach."""
@@ -96,7 +102,6 @@
         if member.state is not AgentState.DOWN
     ]
     controls += [daemon.control for daemon in daemons_by_name.values()]
-    controls += daemons.listed
     survey = Survey({}, ())
     if ask:
         survey = await daemons.survey(controls, counters=counters)
--- a/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
@@ -10,7 +10,7 @@
 from zinniahook_core import configuration
 from zinniahook_core.codes import Code
 from zinniahook_core.configuration import Document
-from zinniahook_store import configurations
+from zinniahook_store import StoreError, configurations
 from zinniahook_store.configurations import Committed, Outcome, Refused, Stage, Stored
 
 from .answers import Answer, Status
@@ -67,30 +67,45 @@
         )
 
 
-async def until_everywhere(
-    session: Session, generation: int, within: Stage | None = None
-) -> Answer:
+async def until_everywhere(session: Session, generation: int) -> Answer:
     """Ask the daemons until each has the generation in force.
 
     Gives up after the session's patience and names those that lag, from their
     own answers: what the store holds says nothing of what has arrived.
     """
     deadline = time.monotonic() + session.settings.patience
-    said: Progress | None = None
+    fleet: Fleet | None = None
+    line = found = None
     while True:
-        fleet = await read_fleet(session.store, session.daemons)
-        found = _progress(generation, fleet, within)
-        if found != said:
-            session.say(_line(found))
-            said = found
-        if found.everywhere or time.monotonic() >= deadline:
+        fleet = await _look(session, fleet)
+        if fleet is not None:
+            found = progress(generation, fleet.survey, fleet.unlisted)
+        if line != _line(generation, found):
+            line = _line(generation, found)
+            session.say(line)
+        done = found is not None and found.everywhere
+        if done or time.monotonic() >= deadline:
             break
         await asyncio.sleep(LOOK_EVERY)
-    return Answer(
-        _line(found),
-        facts={"in_force": list(found.in_force), "lagging": list(found.lagging)},
-        status=Status.OK if found.everywhere else Status.UNFINISHED,
-    )
+    facts = {"in_force": [], "lagging": []}
+    if found is not None:
+        facts = {"in_force": list(found.in_force), "lagging": list(found.lagging)}
+    status = Status.OK if done else Status.UNFINISHED
+    return Answer(line, facts=facts, status=status)
+
+
+async def _look(session: Session, known: Fleet | None) -> Fleet | None:
+    """Ask all daemons; those known already if the store gives no answer.
+
+    Without the latter an outage just after a commit would turn the answer
+    "committed" into an error, and the operator would make the change again.
+    """
+    try:
+        return await read_fleet(session.store, session.daemons)
+    except StoreError:
+        if known is None:
+            return None
+        return known._replace(survey=await session.daemons.survey(known.controls))
 
 
 async def commit(
@@ -217,18 +232,11 @@
     return Refused(Code.ROLLOUT_STOPPED, reason)
 
 
-def _progress(generation: int, fleet: Fleet, within: Stage | None) -> Progress:
-    if within is None:
-        return progress(generation, fleet.survey, fleet.unlisted)
-    answers = {
-        control: reply
-        for control, reply in fleet.survey.answers_by_control.items()
-        if reply.name in within.instances or reply.data_centre in within.data_centres
-    }
-    return progress(generation, fleet.survey._replace(answers_by_control=answers))
-
-
-def _line(found: Progress) -> str:
+def _line(generation: int, found: Progress | None) -> str:
+    if found is None:
+        return (
+            f"generation {generation}: the store doesn't tell which daemons there are"
+        )
     total = len(found.in_force) + len(found.lagging)
     line = f"generation {found.generation}: in force on {len(found.in_force)} of "
     line += f"{total} daemons"
--- a/packages/zinniahook-cli/src/zinniahook_cli/settings.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/settings.py
@@ -16,9 +16,6 @@
     """How the client reaches the store and the daemons, and who it is."""
 
     store: Annotated[tuple[Address, ...], "addresses of the key-value service"]
-    daemons: Annotated[
-        tuple[Address, ...], "control addresses of daemons that the store doesn't list"
-    ] = ()
     certificate: Annotated[Path | None, "PEM file of the operator's certificate"] = None
     key: Annotated[Path | None, "PEM file of its private key"] = None
     authority: Annotated[Path | None, "PEM file of the authority that signs all"] = None
@@ -63,7 +60,7 @@
 def _value(name: str, value: Any, hints: dict[str, Any], file: Path | None) -> Any:
     if name not in hints:
         raise SettingsError(f"{name}: unknown key", Code.SETTINGS_UNKNOWN_KEY)
-    if name in ("store", "daemons"):
+    if name == "store":
         return _addresses(name, value)
     if hints[name] is float:
         if type(value) not in (int, float) or not 0 < value < float("inf"):
--- a/packages/zinniahook-cli/tests/conftest.py
+++ b/packages/zinniahook-cli/tests/conftest.py
@@ -66,9 +66,7 @@
 
     def make(name="amina", timeout=2.0, **flags):
         files = authority.issue(name)
-        settings = ClientSettings(
-            (Address.parse(store.address),), (), *files, timeout, 5.0
-        )
+        settings = ClientSettings((Address.parse(store.address),), *files, timeout, 5.0)
         said = []
         client = Store(settings.store, timeout)
         session = Session(settings, client, said.append, **flags)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -15,6 +15,7 @@
 from zinniahook_testkit.checks import Evidence, check
 from zinniahook_testkit.clusters import Cluster
 from zinniahook_testkit.deployments import TALLY, Deployment, ServicePlan
+from zinniahook_testkit.stores import StoreProcess
 
 BOUND = 120.0
 """Seconds that a test may take; nothing in it waits for a fixed time."""
@@ -37,17 +38,11 @@
         self.said = []
         store = cluster.store_process.ready["address"]
         files = cluster.authority.issue(name)
-        self.settings = ClientSettings(
-            (Address.parse(store),), self.entries(), *files, 2.0, patience
-        )
+        self.settings = ClientSettings((Address.parse(store),), *files, 2.0, patience)
         self.session = Session(
             self.settings, Store([store]), self.said.append, wait=True
         )
 
-    def entries(self):
-        processes = self.cluster.entries_by_name.values()
-        return tuple(Address.parse(each.ready["control"]) for each in processes)
-
     async def run(self, text):
         answer = None
         for statement in grammar.parse(text):
@@ -127,6 +122,28 @@
 
         run(scenario)
 
+    def test_an_outage_during_the_rollout_delays_it_only(self, run):
+        """
+        Symptom: a change is in force on some daemons and never on the rest.
+        Sequence: watches fall silent, a change is committed, the store goes
+        down before the daemons have read it, and returns.
+        Cause: daemons waited for a signal that was lost with the outage.
+        """
+
+        async def scenario(cluster, amina):
+            store = StoreProcess(cluster.store_process)
+            await asyncio.to_thread(store.set_faults, silent=True)
+            hasty = Operator(cluster, patience=0.2)
+            answer = await hasty.run("set tally.ticket.queue = 64")
+            assert answer.facts["outcome"] == "committed"
+            await asyncio.to_thread(store.set_faults, silent=False, outage="refuse")
+            await asyncio.to_thread(store.set_faults, outage="")
+            answer = await amina.run("watch rollout")
+            assert answer.status is Status.OK
+            assert len(answer.facts["in_force"]) == 5
+
+        run(scenario)
+
     def test_a_foreign_certificate_gets_nothing(self, run, tmp_path_factory):
         """
         Symptom: someone without a certificate of ours learns what is in force.
@@ -142,7 +159,10 @@
                 certificate=files.certificate, key=files.key
             )
             session = Session(settings, amina.session.store, print)
-            survey = await session.daemons.survey(settings.daemons)
+            entries = cluster.entries_by_name.values()
+            survey = await session.daemons.survey(
+                Address.parse(each.ready["control"]) for each in entries
+            )
             assert survey.answers_by_control == {}
             assert len(survey.silent) == 2
 
@@ -224,7 +244,7 @@
         async def scenario(cluster, amina):
             running = await load(cluster)
             before = {one.name: one.incarnation for one in await cluster.statuses()}
-            keeper = asyncio.create_task(supervise(cluster, amina))
+            keeper = asyncio.create_task(supervise(cluster))
             try:
                 answer = await amina.run("restart rolling")
             finally:
@@ -283,7 +303,7 @@
     return max(replies, key=lambda reply: reply.streams).name
 
 
-async def supervise(cluster, operator):
+async def supervise(cluster):
     """Start again what ends, as the platform does."""
     while True:
         for name, process in list(cluster.agents_by_name.items()):
@@ -292,8 +312,6 @@
         for name, process in list(cluster.entries_by_name.items()):
             if not process.running:
                 await cluster.start_entry(name)
-                known = operator.session.daemons
-                known._settings = known._settings._replace(daemons=operator.entries())
         await asyncio.sleep(0.05)
 
 
