Tell a change that is in force in part as what it is

Cause: an outage between two stages was told as a failure although the first stage was in force; counters of a daemon that came back looked like broken flows. Change: a paused rollout is an outcome of its own and names both ways out; broken shares count only daemons that answered at both moments; risky changes are refused when no daemon answers.

--- a/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
@@ -5,10 +5,11 @@
 import asyncio
 import time
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple
 
 from zinniahook_core import configuration
-from zinniahook_core.codes import Code
+from zinniahook_core.codes import Code, ZinniahookError
 from zinniahook_core.configuration import Document
 from zinniahook_store import StoreError, configurations
 from zinniahook_store.configurations import Committed, Outcome, Refused, Stage, Stored
@@ -21,7 +22,15 @@
 if TYPE_CHECKING:
     from .sessions import Session
 
-__all__ = ["Traffic", "commit", "read_traffic", "stages", "until_everywhere"]
+__all__ = [
+    "Paused",
+    "Traffic",
+    "broken_share",
+    "commit",
+    "read_traffic",
+    "stages",
+    "until_everywhere",
+]
 
 LOOK_EVERY = 0.25
 """Seconds between two questions to the daemons that lag."""
@@ -44,27 +53,42 @@
 
 
 class Traffic(NamedTuple):
-    """What the daemons forwarded and dropped, ran and lost sight of."""
+    """What a daemon forwarded and dropped, ran and lost sight of."""
 
     forwarded: int
     dropped: int
     requests: int
     unknown: int
 
-    def broken_since(self, earlier: Traffic) -> float:
-        """Return the larger share: of datagrams dropped, of requests unknown.
 
-        A daemon that was restarted meanwhile counts from 0 again; a sum that
-        fell is taken as 0.
-        """
-        delta = Traffic(
-            *(max(0, now - then) for now, then in zip(self, earlier, strict=True))
-        )
-        datagrams = delta.forwarded + delta.dropped
-        return max(
-            delta.dropped / max(datagrams, LEAST),
-            delta.unknown / max(delta.requests, LEAST),
-        )
+TrafficByName = dict[str, Traffic]
+
+
+@dataclass(frozen=True, slots=True)
+class Paused:
+    """A generation that stays in force in a stage only."""
+
+    generation: int
+    previous: int
+    reason: str
+
+
+def broken_share(before: TrafficByName, now: TrafficByName) -> float:
+    """Return the larger share: of datagrams dropped, of requests unknown.
+
+    Daemons that gave no answer at one of the two moments don't count, and one
+    that was restarted between them counts from 0 again.
+    """
+    sums = [0, 0, 0, 0]
+    for name in before.keys() & now.keys():
+        for place, (old, new) in enumerate(zip(before[name], now[name], strict=True)):
+            sums[place] += max(0, new - old)
+    delta = Traffic(*sums)
+    datagrams = delta.forwarded + delta.dropped
+    return max(
+        delta.dropped / max(datagrams, LEAST),
+        delta.unknown / max(delta.requests, LEAST),
+    )
 
 
 async def until_everywhere(session: Session, generation: int) -> Answer:
@@ -116,7 +140,7 @@
     operation: str,
     *,
     take_over: bool = False,
-) -> Outcome:
+) -> Outcome | Paused:
     """Commit everywhere at once, or in stages if a risky setting changes."""
     plan = [] if take_over else await _plan(session, base, document)
     if not plan:
@@ -130,17 +154,35 @@
     )
     if not isinstance(outcome, Committed):
         return outcome
-    for stage in [*later, None]:
-        stopped = await _watched(session, base, outcome.generation, before)
+    session.say(f"rollout: {_where(first)}")
+    try:
+        return await _widen(session, base, author, outcome, [*later, None], before)
+    except ZinniahookError as error:
+        # Told as an error alone, a change that is in force in part would look
+        # like one that never happened.
+        return Paused(outcome.generation, base.generation, str(error))
+
+
+async def _widen(
+    session: Session,
+    base: Stored,
+    author: str,
+    committed: Committed,
+    later: list[Stage | None],
+    before: TrafficByName,
+) -> Outcome | Paused:
+    """Go through the stages, or take the change back."""
+    generation = committed.generation
+    for stage in later:
+        stopped = await _watched(session, base, generation, before)
         if stopped is not None:
-            return await _take_back(session, base, author, stopped)
-        moved = await configurations.move_stage(
-            session.store, outcome.generation, stage
-        )
+            return await _take_back(session, base, author, generation, stopped)
+        moved = await configurations.move_stage(session.store, generation, stage)
         if not isinstance(moved, Committed):
-            return moved
+            reason = getattr(moved, "reason", "the answer of the store was lost")
+            return Paused(generation, base.generation, reason)
         session.say(f"rollout: {_where(stage)}")
-    return outcome
+    return committed
 
 
 def stages(
@@ -160,15 +202,25 @@
     return found
 
 
-async def read_traffic(session: Session) -> Traffic:
-    """Add up the daemons' counters."""
+async def read_traffic(session: Session) -> TrafficByName:
+    """Read the counters of every daemon that answers.
+
+    Raises
+    ------
+    StoreError
+        If the store gives no answer.
+    """
     fleet = await read_fleet(session.store, session.daemons, counters=True)
-    sums = [0, 0, 0, 0]
     groups = (FORWARDED_COUNTERS, DROPPED_COUNTERS, REQUEST_COUNTERS, UNKNOWN_COUNTERS)
-    for reply in fleet.survey.answers_by_control.values():
-        for place, names in enumerate(groups):
-            sums[place] += sum(reply.counters_by_name.get(name, 0) for name in names)
-    return Traffic(*sums)
+    return {
+        reply.name: Traffic(
+            *(
+                sum(reply.counters_by_name.get(name, 0) for name in names)
+                for names in groups
+            )
+        )
+        for reply in fleet.survey.answers_by_control.values()
+    }
 
 
 async def _plan(session: Session, base: Stored, document: Document) -> list[Stage]:
@@ -182,6 +234,10 @@
     if not services or base.generation == 0:
         return []
     fleet = await read_fleet(session.store, session.daemons)
+    if fleet.survey.silent and not fleet.survey.answers_by_control:
+        raise ZinniahookError(
+            "no daemon answers, so a risky change can't be watched", Code.NOT_READY
+        )
     replies = [
         reply
         for reply in fleet.survey.answers_by_control.values()
@@ -198,13 +254,13 @@
 
 
 async def _watched(
-    session: Session, base: Stored, generation: int, before: Traffic
+    session: Session, base: Stored, generation: int, before: TrafficByName
 ) -> str | None:
     """Watch one stage; return why it must stop, or None."""
     rollout = base.document.rollout
     deadline = time.monotonic() + rollout.pause
     while True:
-        share = (await read_traffic(session)).broken_since(before)
+        share = broken_share(before, await read_traffic(session))
         if share > rollout.broken_flows:
             return (
                 f"{share:.2%} of datagrams or requests failed since generation "
@@ -217,8 +273,8 @@
 
 
 async def _take_back(
-    session: Session, base: Stored, author: str, reason: str
-) -> Outcome:
+    session: Session, base: Stored, author: str, generation: int, reason: str
+) -> Outcome | Paused:
     """Commit the old content anew: a lower generation would not be taken."""
     session.say(f"rollout stopped: {reason}")
     now = await configurations.read(session.store)
@@ -227,8 +283,10 @@
     outcome = await configurations.commit(
         session.store, now, document, author, operation, take_over=True
     )
-    if isinstance(outcome, Committed):
-        reason += f"; generation {outcome.generation} has the old content"
+    if not isinstance(outcome, Committed):
+        reason = f"{reason}; taking it back failed: {outcome}"
+        return Paused(generation, base.generation, reason)
+    reason += f"; generation {outcome.generation} has the old content"
     return Refused(Code.ROLLOUT_STOPPED, reason)
 
 
--- a/packages/zinniahook-cli/src/zinniahook_cli/sessions.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/sessions.py
@@ -119,9 +119,14 @@
         return await self.told(base, outcome)
 
     async def told(
-        self, base: Stored, outcome: configurations.Outcome, wait: bool | None = None
+        self,
+        base: Stored,
+        outcome: configurations.Outcome | rollouts.Paused,
+        wait: bool | None = None,
     ) -> Answer:
         """Turn the outcome of a commit into an answer."""
+        if isinstance(outcome, rollouts.Paused):
+            return _paused(outcome)
         if isinstance(outcome, Unknown):
             return Answer(
                 f"unknown: the answer was lost; settle it with: {outcome.command}",
@@ -170,6 +175,21 @@
     )
 
 
+def _paused(outcome: rollouts.Paused) -> Answer:
+    return Answer(
+        f"in force in part (generation {outcome.generation}): {outcome.reason}; "
+        f"`rollback to {outcome.previous}` takes it back, "
+        f"`rollback to {outcome.generation}` puts it in force everywhere",
+        facts={
+            "outcome": "in part",
+            "generation": outcome.generation,
+            "previous": outcome.previous,
+            "reason": outcome.reason,
+        },
+        status=Status.UNFINISHED,
+    )
+
+
 def _diff_table(before: Document, after: Document) -> Table:
     return Table(
         ("setting", "before", "after"),
--- a/packages/zinniahook-cli/tests/test_reports.py
+++ b/packages/zinniahook-cli/tests/test_reports.py
@@ -6,7 +6,7 @@
 from zinniahook_cli.fleets import Fleet
 from zinniahook_cli.prompt import Words
 from zinniahook_cli.reports import Sample, draw, merged
-from zinniahook_cli.rollouts import Traffic, stages
+from zinniahook_cli.rollouts import Traffic, broken_share, stages
 from zinniahook_core.models import Address, AgentState, Member, Roster
 from zinniahook_wire.control_pb2 import Histogram, StatusReply
 
@@ -65,11 +65,11 @@
         assert stages(("data-centre", "all"), ["entry-1"], ["a"], 7) == []
 
     def test_traffic_is_judged_by_what_came_since(self):
-        before = Traffic(50_000, 900, 100, 3)
-        assert before.broken_since(before) == 0.0
-        after = Traffic(51_900, 1000, 100, 3)
-        assert after.broken_since(before) == 100 / 2000
-        assert Traffic(0, 0, 0, 0).broken_since(before) == 0.0
+        before = {"a": Traffic(50_000, 900, 100, 3), "b": Traffic(9, 0, 0, 0)}
+        assert broken_share(before, before) == 0.0
+        after = {"a": Traffic(51_900, 1000, 100, 3), "c": Traffic(9, 9999, 0, 0)}
+        assert broken_share(before, after) == 100 / 2000
+        assert broken_share(before, {"a": Traffic(0, 0, 0, 0)}) == 0.0
 
 
 class TestEmptied:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -284,6 +284,34 @@
 
         run(scenario, UDP)
 
+    def test_an_outage_between_stages_is_told_as_what_it_is(self, run):
+        """
+        Symptom: a change is reported as failed but is in force somewhere.
+        Sequence: the first stage is committed, then the store goes down.
+        Cause: the error of a later read was told in place of the outcome.
+        """
+
+        async def scenario(cluster, amina):
+            store = StoreProcess(cluster.store_process)
+            change = asyncio.create_task(amina.run("set pulse.targets = pulse-*"))
+
+            async def begun():
+                return any("rollout: on" in line for line in amina.said)
+
+            await cluster.until(begun, "the first stage")
+            await asyncio.to_thread(store.set_faults, outage="refuse")
+            answer = await change
+            await asyncio.to_thread(store.set_faults, outage="")
+            assert answer.status is Status.UNFINISHED
+            assert answer.facts["generation"] == 2
+            refused = await amina.run("set pulse.idle = 60")
+            assert refused.facts["code"] == Code.CONFLICT
+            answer = await amina.run("rollback to 1")
+            assert answer.status is Status.OK
+            await cluster.wait_for_generation(3)
+
+        run(scenario, UDP)
+
 
 async def newcomers(address):
     """Open a plain UDP flow after the other."""
