--- a/packages/zinniahook-testkit/src/zinniahook_testkit/rollout.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/rollout.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 from statistics import linear_regression, quantiles
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from zinniahook_core.configuration import Document
 from zinniahook_core.models import Address, AgentState, Member, Roster, Service
@@ -75,7 +75,20 @@
         return max(self.chunk, self.manifest, self.roster)
 
 
-def measure(daemons: int, changes: int, delay: float = 0.0) -> Rollout:
+class _Tree(Cluster):
+    """A cluster of which few daemons watch the store."""
+
+    watchers = 0
+
+    def _settings(self, name: str, role: str) -> dict[str, Any]:
+        settings = super()._settings(name, role)
+        settings["control"]["watchers"] = self.watchers
+        return settings
+
+
+def measure(
+    daemons: int, changes: int, delay: float = 0.0, watchers: int = 0
+) -> Rollout:
     """Commit changes and see when each daemon has them in force.
 
     Parameters
@@ -86,8 +99,10 @@
         Changes, one after the other.
     delay : float
         Seconds that the store holds each call and each message back.
+    watchers : int
+        Daemons of each data centre that watch the store; all of them if 0.
     """
-    return asyncio.run(_measure(daemons, changes, delay))
+    return asyncio.run(_measure(daemons, changes, delay, watchers))
 
 
 def measure_sizes(services: int, targets: int) -> Sizes:
@@ -113,12 +128,14 @@
     )
 
 
-async def _measure(daemons: int, changes: int, delay: float) -> Rollout:
+async def _measure(daemons: int, changes: int, delay: float, watchers: int) -> Rollout:
     entries = max(1, daemons // ENTRIES_SHARE)
     plan = ServicePlan("tally", 1, daemons - entries, 4, (Class("all", "/"),))
     deployment = Deployment("rollout", ("east", "west"), entries, 0.0, (plan,))
     with tempfile.TemporaryDirectory() as folder:
-        async with Cluster(deployment, Path(folder)) as cluster:
+        cluster = _Tree(deployment, Path(folder))
+        cluster.watchers = watchers
+        async with cluster:
             await cluster.change(_drain_of(1.5))
             await _in_force(cluster, 2)
             store = StoreProcess(cluster.store_process)
@@ -211,10 +228,10 @@
 
 @scenario("rollout")
 def measure_rollout(
-    daemon_counts: Sequence[int], changes: int, delay: float = 0.0
+    daemon_counts: Sequence[int], changes: int, delay: float = 0.0, watchers: int = 0
 ) -> list[Figure]:
     """Measure the time to in force, and the slope of the store's calls."""
-    results = [measure(count, changes, delay) for count in daemon_counts]
+    results = [measure(count, changes, delay, watchers) for count in daemon_counts]
     slope, base = linear_regression(daemon_counts, [one.calls for one in results])
     last = results[-1]
     at = f"at {last.daemons} daemons"
