Try failed reads of a generation again

Symptom: an agent that watches the store keeps the old generation for hours although the store is up. Sequence: the watch tells the new pointer; the read of its manifest or of its values fails once; no other change comes. Cause: Origin._read takes the pointer before the reads and drops the change when they fail. The watch tells a pointer once, and a peer's newer generation doesn't wake the daemon, as it holds the pointer already. Change: while something that the pointer names is missing, or what is due isn't in force, it is read again, with backoff from 0.5 to 8 s. An entry gets every value through its watch and wasn't affected.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/origin.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/origin.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -41,6 +42,11 @@
 HEARD_INTERVAL = 0.5
 """Seconds between looks at when the watches last heard of the store."""
 
+CATCH_UP = 0.5
+CATCH_UP_LIMIT = 8.0
+"""Seconds between attempts to read what a generation still lacks, doubled after
+each that fails."""
+
 
 class Origin(Source):
     """The store as a source.
@@ -75,6 +81,7 @@
         self._distribution.heard(0.0, depth=1)
         watches = [self._store.watch(prefix) for prefix in self._prefixes()]
         readers = [asyncio.create_task(self._read(watch)) for watch in watches]
+        readers.append(asyncio.create_task(self._catch_up()))
         try:
             await self._note_age(watches, readers)
         finally:
@@ -108,9 +115,38 @@
                     await self._take(change)
                 except ZinniahookError as error:
                     # One value that can't be read, or a read that failed:
-                    # what is in force stays so until the next change.
+                    # what is in force stays so until `_catch_up` succeeds.
                     self._distribution.unusable(change.key, error)
 
+    async def _catch_up(self) -> None:
+        """Try again to read what the pointer names.
+
+        The watch tells a pointer once. If the reads that follow it fail, this
+        daemon would keep the old generation until the next change, seen as
+        one that lags behind for hours with the store up; and a peer's newer
+        generation wouldn't wake it, as it holds the pointer already.
+        """
+        pause = CATCH_UP
+        while True:
+            await asyncio.sleep(pause * random.uniform(0.5, 1.5))
+            if self._is_whole():
+                pause = CATCH_UP
+                continue
+            try:
+                await self._complete()
+            except ZinniahookError as error:
+                self._distribution.unusable(documents.POINTER_KEY, error)
+                pause = min(CATCH_UP_LIMIT, pause * 2)
+
+    def _is_whole(self) -> bool:
+        """Whether all that the pointer names is held, and what is due in force."""
+        generations = self._distribution.generations
+        configuration = self._distribution.configuration
+        in_force = configuration.generation if configuration else 0
+        return in_force >= generations.wanted and not any(
+            generations.missing(generation) != [] for generation in generations.named()
+        )
+
     async def _take(self, change: Change) -> None:
         key, value = change.key, change.value
         generations = self._distribution.generations
