--- a/packages/zinniahook-core/src/zinniahook_core/placement.py
+++ b/packages/zinniahook-core/src/zinniahook_core/placement.py
@@ -24,6 +24,8 @@
 IN_FLIGHT = 0.02
 BUCKET = 0.01
 CHOICES = 2
+MOST_COMPARED = 16
+"""How many peers a choice looks at, however many there are."""
 FLOW_MARGIN = 0.05
 """How much a peer must be better, in parts of the mean."""
 FILLED_WEIGHT = 0.2
@@ -36,8 +38,8 @@
 HEALTH_PRIOR = 2.0
 HEALTH_FLOOR = 0.05
 CLAIM_AGE = 3.0
-CLAIM_SHARE = 0.5
-SUCCESS_AGE = 30.0
+CLAIMED_PRIOR = 0.5
+"""Stands for HEALTH_PRIOR while the target says that it is unhealthy."""
 FAILURE_WEIGHT = 4.0
 """A target that fails all counts as filled this many times more."""
 LEAST_SLOTS = 0.1
@@ -55,16 +57,16 @@
     A target that fails fast has few requests in progress, so by load alone it
     looks like the best place and draws in all the work, whatever its health
     endpoint claims. The failures that the agent itself saw lower its share;
-    a healthy claim never raises it. An unhealthy claim counts only when no
-    request has succeeded for long, so that a wrong alarm takes nothing out of
-    service. Evidence fades, so that a mended target is tried again.
+    a healthy claim never raises it. An unhealthy claim only makes failures
+    count sooner: a wrong alarm that counted by itself would keep away the very
+    requests whose success refutes it. Evidence fades, so that a mended target
+    is tried again.
     """
 
     def __init__(self) -> None:
         self._failures = 0.0
         self._successes = 0.0
         self._updated = 0.0
-        self._succeeded_at = -math.inf
         self._unhealthy_at = -math.inf
 
     def finished(self, now: float, failed: bool) -> None:
@@ -72,9 +74,8 @@
         self._decay(now)
         if failed:
             self._failures += 1.0
-            return
-        self._successes += 1.0
-        self._succeeded_at = now
+        else:
+            self._successes += 1.0
 
     def reported(self, now: float, report: TargetReported) -> None:
         """Note what the target says of itself."""
@@ -83,12 +84,10 @@
     def share(self, now: float) -> float:
         """Return the usable part of the slots, from HEALTH_FLOOR to 1."""
         self._decay(now)
-        seen = self._failures + self._successes + HEALTH_PRIOR
-        share = 1.0 - self._failures / seen
         claimed = now - self._unhealthy_at < CLAIM_AGE
-        if claimed and now - self._succeeded_at > SUCCESS_AGE:
-            share *= CLAIM_SHARE
-        return max(HEALTH_FLOOR, share)
+        prior = CLAIMED_PRIOR if claimed else HEALTH_PRIOR
+        seen = self._failures + self._successes + prior
+        return max(HEALTH_FLOOR, 1.0 - self._failures / seen)
 
     def _decay(self, now: float) -> None:
         factor = 0.5 ** (max(0.0, now - self._updated) / HEALTH_HALF_LIFE)
@@ -106,20 +105,6 @@
     flows: int
 
 
-@dataclass(slots=True)
-class Peer:
-    """What is known of one peer: its last report and what was handed since."""
-
-    slots: int = 1
-    ready: bool = False
-    leaving: bool = False
-    incarnation: int = 0
-    sequence: int = -1
-    reported_at: float = -math.inf
-    load: Load = NO_LOAD
-    handed: list[Handed] = field(default_factory=list)
-
-
 class Work(NamedTuple):
     """What one peer is thought to have in progress, and its usable slots."""
 
@@ -136,6 +121,39 @@
         return self.busy / self.slots + FAILURE_WEIGHT * (1.0 - self.share)
 
 
+@dataclass(slots=True)
+class Peer:
+    """What is known of one peer: its last report and what was handed since."""
+
+    slots: int = 1
+    ready: bool = False
+    leaving: bool = False
+    incarnation: int = 0
+    sequence: int = -1
+    reported_at: float = -math.inf
+    load: Load = NO_LOAD
+    handed: list[Handed] = field(default_factory=list)
+
+    @property
+    def takes_new(self) -> bool:
+        """Whether it may be given new work."""
+        return self.ready and not self.leaving
+
+    def work(self, now: float) -> Work:
+        """Return its last report and what was handed to it since."""
+        flows = sum(item.flows for item in self.handed)
+        slots = sum(item.slots for item in self.handed)
+        load = self.load
+        return Work(
+            load.flows + flows,
+            load.streams + flows,
+            load.busy + load.queued + slots,
+            _warm(self.slots, load.cold),
+            min(1.0, load.slots / max(1, self.slots)),
+            now - self.reported_at,
+        )
+
+
 class Placement:
     """Chooses between this agent and its peers for new work.
 
@@ -297,31 +315,18 @@
         )
 
     def _peers_work(self, now: float) -> dict[str, Work]:
-        """Return the work of every ready peer with a fresh report."""
-        works_by_name = {}
-        for name, peer in self._peers_by_name.items():
-            age = now - peer.reported_at
-            if not peer.ready or peer.leaving or age > REPORT_AGE:
-                continue
-            flows = sum(item.flows for item in peer.handed)
-            slots = sum(item.slots for item in peer.handed)
-            load = peer.load
-            works_by_name[name] = Work(
-                load.flows + flows,
-                load.streams + flows,
-                load.busy + load.queued + slots,
-                _warm(peer.slots, load.cold),
-                min(1.0, load.slots / max(1, peer.slots)),
-                age,
-            )
-        return works_by_name
-
-    def _any_ready(self) -> str | None:
-        ready = [
-            name
+        """Return the work of ready peers with a fresh report."""
+        fresh = [
+            (name, peer)
             for name, peer in self._peers_by_name.items()
-            if peer.ready and not peer.leaving
+            if peer.takes_new and now - peer.reported_at <= REPORT_AGE
         ]
+        if len(fresh) > MOST_COMPARED:
+            fresh = self._rng.sample(fresh, MOST_COMPARED)
+        return {name: peer.work(now) for name, peer in fresh}
+
+    def _any_ready(self) -> str | None:
+        ready = [name for name, peer in self._peers_by_name.items() if peer.takes_new]
         return self._rng.choice(ready) if ready else None
 
 
