core: an asker's own tombstone forbids a late copy

Symptom: a request runs after its caller was told that it doesn't. Sequence: an agent refuses attempt 2 while it owns the claim; another agent joins and becomes the owner; attempt 1 arrives late and is granted. Cause: the new owner has no tombstone yet, it doesn't look up at the asker, and the asker overlooked its own refusals. Change: the asker settles a late copy by its own tombstone. The state machine also sends requests without a key.

--- a/packages/zinniahook-core/src/zinniahook_core/claims.py
+++ b/packages/zinniahook-core/src/zinniahook_core/claims.py
@@ -346,9 +346,7 @@
         The owner doesn't look up at the asker, so the asker looks itself.
         """
         record = self.records.get(now, ask.key)
-        if record is None or record.runner == self._name:
-            return False
-        if record.state is ClaimState.REFUSED:
+        if record is None or not _forbids(record, ask, self._name):
             return False
         answer = tell(now, self.view, self._message(ask), record)
         self._settle(ask, self._settled_by(ask, answer))
@@ -575,3 +573,19 @@
 
     def _count(self, name: str) -> None:
         self._effects.append(Count(name))
+
+
+def _forbids(record: Record, ask: Ask, name: str) -> bool:
+    """Tell whether the asker's own record forbids what an owner allowed.
+
+    What goes wrong: an agent refuses a request while it owns the claim, then
+    ownership moves, and a late copy of the refused attempt arrives. The new
+    owner knows of no tombstone. It would show as a request that runs after
+    its caller was told that it doesn't.
+    """
+    if record.ran:
+        return record.runner != name
+    if ask.intent is not ClaimIntent.RUN:
+        return False
+    unnumbered = not record.attempt or not ask.attempt
+    return unnumbered or ask.attempt <= record.attempt
--- a/packages/zinniahook-core/tests/core_fakes.py
+++ b/packages/zinniahook-core/tests/core_fakes.py
@@ -21,6 +21,8 @@
     Service,
 )
 
+KEYLESS = b" without a key"
+"""Ends the name of a request that carries no idempotency key."""
 KEYS = {1: Key(1, bytes(range(32)))}
 TICKET = {"ticket": RequestClass("ticket", "/", slots=1, deadline=8.0)}
 SERVICES = {
@@ -118,7 +120,7 @@
         if not self.alive:
             return
         if self.paused:
-            self.inbox.append(event)
+            self.inbox.append((self.feed, event))
             return
         for effect in self.core.handle(self.cluster.now, event):
             handler = getattr(self, f"on_{type(effect).__name__.lower()}", None)
@@ -130,8 +132,8 @@
         self.paused = False
         self.feed(events.Tick())
         inbox, self.inbox = self.inbox, []
-        for event in inbox:
-            self.feed(event)
+        for function, *arguments in inbox:
+            function(*arguments)
 
     def arrive(self, flow_id, key, attempt):
         """Take a request on a connection that this process holds."""
@@ -149,13 +151,14 @@
         request = self.requests.get(number)
         if request is None:
             return
-        deadline = self.cluster.now + 8.0
+        key = b"" if request.key.endswith(KEYLESS) else request.key
+        until = self.cluster.now + 8.0
+        attempt = request.attempt
         self.feed(
             events.RequestArrived(
-                number, "ticket", False, request.key, request.attempt, deadline,
-                relayed_by,
+                number, "ticket", False, key, attempt, until, relayed_by
             )
-        )  # fmt: skip
+        )
 
     def conclude(self, number, kind, answer=b""):
         request = self.requests.pop(number, None)
@@ -173,6 +176,9 @@
         self.cluster.later(origin.relay_ended, at_origin, kind, answer)
 
     def relay_ended(self, number, kind, answer):
+        if self.paused:
+            self.inbox.append((self.relay_ended, number, kind, answer))
+            return
         if number not in self.requests:
             return
         started = kind not in (OutcomeKind.NOT_RUN, OutcomeKind.CANCELLED_BEFORE)
@@ -182,6 +188,9 @@
             self.conclude(number, kind, answer)
 
     def target_ended(self, number, core):
+        if self.paused:
+            self.inbox.append((self.target_ended, number, core))
+            return
         request = self.requests.get(number)
         if request is None or core is not self.core or not self.alive:
             return
@@ -201,6 +210,9 @@
 
     def cancel(self, number):
         """Let the caller, or the agent that relayed the request, go."""
+        if self.paused:
+            self.inbox.append((self.cancel, number))
+            return
         request = self.requests.get(number)
         if request is not None and not request.cancelled:
             request.cancelled = True
--- a/packages/zinniahook-core/tests/test_agents.py
+++ b/packages/zinniahook-core/tests/test_agents.py
@@ -180,6 +180,32 @@
         assert cluster.broken() == []
 
 
+class TestTombstones:
+    def test_late_copy_does_not_run_when_ownership_has_moved(self):
+        """Symptom: a ticket runs after its caller was told that it doesn't.
+
+        Sequence: an agent refuses second attempts; a new agent joins and
+        owns some of their claims; the first attempts arrive late.
+        Cause: the new owner has no tombstone and the asker, which has it,
+        trusted the owner.
+        """
+        cluster = Cluster(7, {"ledger": 1})
+        cluster.connect("ledger")
+        cluster.run(0.5)
+        (connection,) = cluster.connections
+        for number in range(60):
+            cluster.request(connection, b"ticket %d" % number, 2)
+        cluster.run(0.5)
+        refused = [t.key for t in cluster.told if t.kind is OutcomeKind.NOT_RUN]
+        assert len(refused) > 10
+        cluster.run(10.0)
+        cluster.join("ledger")
+        for number, key in enumerate(refused):
+            cluster.request(connection, key, 1, delay=0.05 * number)
+        cluster.run(15.0)
+        assert cluster.broken() == []
+
+
 class TestCopies:
     def test_copies_relayed_to_each_other_are_answered(self):
         """Symptom: both copies of a ticket wait until their callers give up.
--- a/packages/zinniahook-core/tests/test_machine.py
+++ b/packages/zinniahook-core/tests/test_machine.py
@@ -6,6 +6,7 @@
 
 import pytest
 from core_clusters import Cluster
+from core_fakes import KEYLESS
 from hypothesis import HealthCheck, Phase, Verbosity, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -88,6 +89,14 @@
         self.send(which + 1, key, 2, second)
         self.cluster.run(0.1)
 
+    @rule(which=index, service=service)
+    def file_without_key(self, which, service):
+        """Send requests that the system must not try a second time."""
+        for number in range(4):
+            name = self.new_key(service) + KEYLESS
+            self.send(which + number, name, 1, 0.0)
+        self.cluster.run(0.1)
+
     @rule(which=index, service=service, late=st.sampled_from((0.0, 3.0)))
     def flood(self, which, service, late):
         """Send more at once than one agent takes, the first copies late."""
