Keep operators' certificates from secrets, and the list of daemons true

Any certificate of the authority could subscribe and read the keys; every entry would have read the list of daemons every ten seconds; a stop before the first configuration printed a ready line.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/announcements.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/announcements.py
@@ -85,6 +85,7 @@
         )
         self._failures_by_name: dict[str, int] = {}
         self.announced = False
+        self._unsure = asyncio.Event()
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -104,12 +105,28 @@
             async with asyncio.timeout(WITHDRAW_TIMEOUT):
                 await self._until_written(self._withdraw)
 
+    def check(self) -> None:
+        """Look soon whether this daemon still stands in the list.
+
+        It may have been taken off while it was paused or cut off, which also
+        costs it the source that it learns from.
+        """
+        self._unsure.set()
+
     async def _run(self) -> None:
         await self._until_written(self._announce)
         self.announced = True
         while True:
-            await asyncio.sleep(PROBE_INTERVAL * random.uniform(0.5, 1.5))
-            await self._probe_one()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PROBE_INTERVAL * random.uniform(0.5, 1.5)):
+                    await self._unsure.wait()
+            if self._unsure.is_set():
+                self._unsure.clear()
+                await self._until_written(self._announce)
+            # Only those few look that follow the store: each look reads the
+            # list, which grows with the data centre.
+            elif self._node.distribution.watches:
+                await self._probe_one()
 
     async def _until_written(self, change: Change) -> None:
         """Make a change of the list, however often others are first."""
@@ -164,11 +181,8 @@
             )
         except ZinniahookError:
             return
-        if daemons.get(self._daemon.name) != self._daemon:
-            # Taken off while this process was paused or cut off.
-            await self._until_written(self._announce)
         others = [one for one in daemons.values() if one.name != self._daemon.name]
-        if not others or not self._looks():
+        if not others:
             return
         other = random.choice(others)
         failures = self._failures_by_name
@@ -188,10 +202,6 @@
         del failures[other.name]
         self._node.log("daemon-removed", daemon=other.name)
 
-    def _looks(self) -> bool:
-        """Whether this daemon looks after the others: only watchers do."""
-        return self._node.distribution.watches
-
 
 def _decode(item: Item | None) -> tuple[Daemons, tuple[str, ...]]:
     if item is None:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/control.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any, TypedDict
 
 from grpclib.const import Status
@@ -10,6 +11,7 @@
 from grpclib.server import Server, Stream
 from h2.exceptions import H2Error
 from zinniahook_core.codes import Code
+from zinniahook_core.configuration import Operator
 from zinniahook_core.models import Address, AgentState
 from zinniahook_wire.control_grpc import ControlBase
 from zinniahook_wire.control_pb2 import (
@@ -22,6 +24,7 @@
     Update,
 )
 
+from . import permissions
 from .metrics import HistogramKey
 from .settings import Role
 
@@ -115,6 +118,7 @@
         request = await stream.recv_message()
         if request is None:
             return
+        self._check_daemon(stream)
         try:
             await self._node.distribution.serve(request, stream)
         except GONE:
@@ -134,10 +138,12 @@
         """Start a graceful shutdown, or tell how far it is."""
         request = await stream.recv_message()
         if request is not None:
-            await stream.send_message(self._drain(request))
+            name = permissions.common_name(stream)
+            await stream.send_message(self._drain(request, name))
 
     async def Relay(self, stream: Stream) -> None:  # noqa: N802
         """Hand a peer's request to the agent."""
+        self._check_daemon(stream)
         handler = self._node.relay_handler
         if handler is None:
             raise GRPCError(Status.UNIMPLEMENTED, "this daemon serves no target")
@@ -195,9 +201,28 @@
         for key, histogram in metrics.histograms_by_key.items():
             reply.histograms.append(_histogram(key, histogram))
 
-    def _drain(self, request: DrainRequest) -> DrainReply:
+    def _check_daemon(self, stream: Stream) -> None:
+        """Refuse a call of an operator that is meant for daemons."""
+        name = permissions.common_name(stream)
+        if not permissions.may_learn(self._operators(), name):
+            self._node.count("control.refused", code=Code.NOT_PERMITTED.name)
+            raise GRPCError(Status.PERMISSION_DENIED, f"{name} is an operator")
+
+    def _operators(self) -> Mapping[str, Operator]:
+        return self._node.distribution.generations.operators_by_name
+
+    def _drain(self, request: DrainRequest, name: str) -> DrainReply:
         node = self._node
         if not request.look:
+            agent = node.settings.agent
+            service = agent.service if agent else ""
+            if not permissions.may_drain(self._operators(), name, service):
+                node.count("control.refused", code=Code.NOT_PERMITTED.name)
+                return DrainReply(
+                    code=int(Code.NOT_PERMITTED),
+                    reason=f"{name!r} may not drain {service or 'an entry'}",
+                    state=self._fields()["state"],
+                )
             if not request.force and self._is_last():
                 return DrainReply(
                     code=int(Code.WOULD_EMPTY_SERVICE),
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
@@ -286,6 +286,8 @@
             self._alternatives = len(sources) > 1
             for source, limit in sources:
                 await self._follow(source, limit)
+            if self._node.announcement is not None:
+                self._node.announcement.check()
             if self.age <= TOLERANCE:
                 pause = BACKOFF
             else:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/generations.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/generations.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from zinniahook_core import configuration as model
+from zinniahook_core.configuration import Operator
 from zinniahook_core.models import Configuration, Service
 from zinniahook_wire import documents
 from zinniahook_wire.documents import Manifest, Pointer
@@ -51,6 +52,14 @@
         Of this daemon; they choose the generation during a staged rollout.
     services : frozenset of str or None
         The services that matter here; None for all.
+
+    Attributes
+    ----------
+    pointer : Pointer
+    pointer_value : bytes
+        The pointer as stored.
+    operators_by_name : mapping of str to Operator
+        Whom the configuration in force names as operators.
     """
 
     def __init__(
@@ -61,6 +70,7 @@
         self.services = services
         self.pointer = NO_POINTER
         self.pointer_value = b""
+        self.operators_by_name: Mapping[str, Operator] = {}
         self._stored_by_generation: dict[int, StoredGeneration] = {}
         self._values_by_digest: dict[str, bytes] = {}
         self._services_by_digest: dict[str, dict[str, Service]] = {}
@@ -184,6 +194,8 @@
                 if name in self.services
             }
         self._forget(stored)
+        head = model.from_table(stored.manifest.head)
+        self.operators_by_name = head.operators_by_name
         return model.compile(
             model.Document(services_by_name=services),
             stored.manifest.generation,
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/main.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/main.py
@@ -76,7 +76,9 @@
     loop.add_signal_handler(signal.SIGHUP, node.reload)
     await node.start()
     try:
-        await role.serve(node)
+        await node.ready()
+        if not node.stopping.is_set():
+            await role.serve(node)
     finally:
         await node.stop()
         node.log("stopped")
--- a/packages/zinniahook-daemon/tests/conftest.py
+++ b/packages/zinniahook-daemon/tests/conftest.py
@@ -5,11 +5,11 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from pathlib import Path
 
 import pytest
-from zinniahook_core.configuration import Document, KeyRing
+from zinniahook_core.configuration import Document, KeyRing, Operator
 from zinniahook_core.models import Address, Key, Service
 from zinniahook_daemon.node import Node
 from zinniahook_daemon.settings import (
@@ -76,10 +76,11 @@
         generation: int,
         *services: Service,
         pointer: Pointer | None = None,
+        operators: Mapping[str, Operator] | None = None,
     ) -> None:
         """Hand a generation to a node, as the store would."""
         pointer = pointer or Pointer(generation, "op")
-        parts = self.parts(generation, *services)
+        parts = self.parts(generation, services, operators or {})
         generations = node.distribution.generations
         generations.add_manifest(documents.manifest_to_json(parts.manifest))
         generations.add_values(
@@ -88,10 +89,15 @@
         generations.point(documents.pointer_to_json(pointer))
         node.distribution.apply()
 
-    def parts(self, generation: int, *services: Service) -> Parts:
+    def parts(
+        self,
+        generation: int,
+        services: Iterable[Service],
+        operators: Mapping[str, Operator],
+    ) -> Parts:
         """Return the values of a generation."""
         return documents.split(
-            Document({service.name: service for service in services}),
+            Document({service.name: service for service in services}, operators),
             KEYS,
             generation=generation,
             parent=generation - 1,
--- a/packages/zinniahook-daemon/tests/test_distribution.py
+++ b/packages/zinniahook-daemon/tests/test_distribution.py
@@ -9,6 +9,7 @@
 from grpclib.client import Channel
 from grpclib.exceptions import StreamTerminatedError
 from zinniahook_core.codes import Code
+from zinniahook_core.configuration import Operator
 from zinniahook_core.models import Address, AgentState, Member, Roster, Service
 from zinniahook_daemon.certificates import Certificates
 from zinniahook_daemon.generations import Generations
@@ -268,6 +269,52 @@
         asyncio.run(run())
 
 
+class TestPermissions:
+    """What a certificate of our own authority doesn't open."""
+
+    def test_an_operator_gets_no_keys(self, nodes):
+        """Symptom: who finds an operator's certificate reads the keys.
+
+        Sequence: a subscriber shows an operator's certificate.
+        Cause: every certificate of the authority would be a daemon's.
+        """
+
+        async def run():
+            async with nodes.start("node") as node:
+                amina = Operator("amina", ("ledger",))
+                nodes.commit(node, 1, TALLY, operators={"amina": amina})
+                async with nodes.start("amina", node.control_address) as stranger:
+                    async with asyncio.timeout(20):
+                        while "operator" not in stranger.distribution.reason:
+                            await asyncio.sleep(0.01)
+                    assert stranger.configuration is None
+
+        asyncio.run(run())
+
+    @pytest.mark.parametrize(
+        ("services", "code"),
+        [(("ledger",), Code.NOT_PERMITTED), (("tal*",), Code.OK)],
+    )
+    def test_only_named_operators_drain(self, nodes, services, code):
+        async def run():
+            async with nodes.start("a", service="tally") as node:
+                amina = Operator("amina", services)
+                nodes.commit(node, 1, TALLY, operators={"amina": amina})
+                take(node, roster("tally", 9, "a", "b"))
+                drained = []
+                node.on_drain(drained.append)
+                files = nodes.authority.issue("amina")
+                control = node.settings.control._replace(
+                    certificate=files.certificate, key=files.key
+                )
+                request = DrainRequest(seconds=3)
+                reply = await call(node, "Drain", request, Certificates(control).client)
+                assert reply.code == code
+                assert drained == ([] if code else [3.0])
+
+        asyncio.run(run())
+
+
 class TestOperatorsCalls:
     def test_status_tells_what_is_in_force(self, nodes):
         async def run():
--- a/packages/zinniahook-daemon/tests/test_tree.py
+++ b/packages/zinniahook-daemon/tests/test_tree.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 from zinniahook_core.models import Address, Service
+from zinniahook_daemon import announcements
 from zinniahook_daemon.announcements import read_daemons
 from zinniahook_daemon.trees import place
 from zinniahook_store import Store, configurations
 from zinniahook_testkit import stores
+from zinniahook_wire import documents
+from zinniahook_wire.documents import Daemon
 
 TALLY = Service("tally", 1, Address("127.0.0.1", 7001))
 WATCHERS = 2
@@ -155,3 +159,54 @@
                 assert store_process.state()["watches"] == WATCHERS
 
         asyncio.run(run())
+
+
+class TestAnnouncements:
+    def test_a_killed_daemon_is_taken_off(
+        self, nodes, store_process, eventually, monkeypatch
+    ):
+        """Symptom: daemons keep trying one that was killed long ago.
+
+        Sequence: an entry is killed, so that it can't withdraw.
+        Cause: nobody else would take it from the list.
+        """
+        monkeypatch.setattr(announcements, "PROBE_INTERVAL", 0.05)
+
+        async def run():
+            store = Store([store_process.address])
+            await commit(store, TALLY)
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                gone = Daemon("gone", "entry", Address(*probe.getsockname()), 1)
+            key = documents.daemons_key("thies-1")
+            await store.put(key, documents.daemons_to_json([gone], ()))
+            address = Address.parse(store_process.address)
+            async with nodes.start("entry-1", store=address):
+                async with asyncio.timeout(20):
+                    while set(await read_daemons(store, "thies-1")) != {"entry-1"}:
+                        await asyncio.sleep(0.05)
+            assert await read_daemons(store, "thies-1") == {}
+
+        asyncio.run(run())
+
+    def test_one_that_was_taken_off_comes_back(self, nodes, store_process, eventually):
+        """Symptom: a daemon runs, and operators don't see it.
+
+        Sequence: it is paused, taken off as dead, and goes on.
+        Cause: it would announce itself at its start only.
+        """
+
+        async def run():
+            store = Store([store_process.address])
+            await commit(store, TALLY)
+            address = Address.parse(store_process.address)
+            async with nodes.start("entry-1", store=address) as node:
+                await eventually(lambda: node.announcement.announced)
+                key = documents.daemons_key("thies-1")
+                await store.put(key, documents.daemons_to_json([], ()))
+                node.announcement.check()
+                async with asyncio.timeout(20):
+                    while not await read_daemons(store, "thies-1"):
+                        await asyncio.sleep(0.05)
+
+        asyncio.run(run())
