--- a/packages/zinniahook-cli/tests/conftest.py
+++ b/packages/zinniahook-cli/tests/conftest.py
@@ -60,9 +60,8 @@
 
 
 @pytest.fixture
-def session_of(store, authority, tmp_path):
+def session_of(store, authority):
     """Make the session of an operator, by name."""
-    (tmp_path / "first.toml").write_text(FIRST)
 
     def make(name="amina", timeout=2.0, **flags):
         files = authority.issue(name)
@@ -79,4 +78,5 @@
 @pytest.fixture
 def first(tmp_path):
     """The statement that makes the first generation."""
+    (tmp_path / "first.toml").write_text(FIRST)
     return f"apply {tmp_path / 'first.toml'}"
