Let operators stop only what serves their services

Cause: anyone with a certificate could drain any target through the client. Change: drains and restarts check the operator's services; an entry takes the right to all. Tests of that and of an entry that was paused during a change.

--- a/packages/zinniahook-cli/src/zinniahook_cli/changes.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/changes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import difflib
-import fnmatch
 from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import Any
@@ -107,8 +106,7 @@
         return True
     if section != "services":
         return operator.operators
-    name = rest.partition(".")[0]
-    return any(fnmatch.fnmatchcase(name, item) for item in operator.services)
+    return operator.may_change(rest.partition(".")[0])
 
 
 @_step(Set)
--- a/packages/zinniahook-cli/src/zinniahook_cli/drains.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/drains.py
@@ -6,8 +6,10 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
-from zinniahook_core.codes import Code
+from zinniahook_core.codes import Code, ZinniahookError
+from zinniahook_core.configuration import Operator
 from zinniahook_core.models import Address, AgentState
+from zinniahook_store import configurations
 from zinniahook_wire.control_pb2 import DrainReply, DrainRequest
 
 from .answers import Answer, Status
@@ -25,6 +27,8 @@
 """Seconds between two questions about the progress."""
 
 
+ALL_SERVICES = "*"
+
 SERVING_STATES = ("ready", "serving")
 """What agents and entries say of themselves when they take new work."""
 
@@ -41,6 +45,7 @@
     """Drain what the statement names and wait until it is safe."""
     fleet = await read_fleet(session.store, session.daemons)
     stops = _FINDERS_BY_KIND[statement.kind](fleet, statement)
+    await _check_permitted(session, stops)
     refused = _refusal(fleet, stops, statement.force)
     if refused is not None:
         return refused
@@ -51,6 +56,7 @@
     """Drain each daemon and wait until it is back before the next one."""
     fleet = await read_fleet(session.store, session.daemons)
     stops = [*_agents(fleet), *_entries(fleet)]
+    await _check_permitted(session, stops)
     for number, stop in enumerate(stops, 1):
         now = await read_fleet(session.store, session.daemons)
         refused = _refusal(now, [stop], statement.force)
@@ -66,6 +72,26 @@
     return Answer(f"restarted {len(stops)} daemons", facts={"restarted": len(stops)})
 
 
+async def _check_permitted(session: Session, stops: list[Stop]) -> None:
+    """Refuse to stop what serves a service that isn't the operator's.
+
+    An entry serves every service, so it takes the right to all of them.
+    """
+    stored = await configurations.read(session.store)
+    operators = stored.document.operators_by_name
+    if not operators:
+        return
+    operator = operators.get(session.operator, Operator(session.operator))
+    for stop in stops:
+        if stop.service:
+            allowed = operator.may_change(stop.service)
+        else:
+            allowed = ALL_SERVICES in operator.services
+        if not allowed:
+            reason = f"{operator.name} may not stop {stop.name}"
+            raise ZinniahookError(reason, Code.NOT_PERMITTED)
+
+
 def emptied(fleet: Fleet, stops: list[Stop]) -> list[str]:
     """Return the services that the stops would leave without a ready target."""
     leaving = {stop.name for stop in stops}
--- a/packages/zinniahook-core/src/zinniahook_core/configuration.py
+++ b/packages/zinniahook-core/src/zinniahook_core/configuration.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import fnmatch
 import tomllib
 from collections.abc import Iterator, Mapping
 from typing import Any, NamedTuple
@@ -72,6 +73,10 @@
     keys: bool = False
     operators: bool = False
 
+    def may_change(self, service: str) -> bool:
+        """Whether the operator may change the service."""
+        return any(fnmatch.fnmatchcase(service, item) for item in self.services)
+
 
 class Document(NamedTuple):
     """The whole configuration without its secrets.
--- a/packages/zinniahook-core/src/zinniahook_core/schema.py
+++ b/packages/zinniahook-core/src/zinniahook_core/schema.py
@@ -131,7 +131,9 @@
 }
 
 OPERATOR_FIELDS_BY_NAME: Mapping[str, Field] = {
-    "services": _texts("name patterns of the services the operator may change"),
+    "services": _texts(
+        "name patterns of the services the operator may change and drain"
+    ),
     "keys": Field(_read_flag, _same, "true or false", "may rotate keys"),
     "operators": Field(
         _read_flag, _same, "true or false", "may change operators and rollout rules"
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,7 +8,7 @@
 from zinniahook_cli.answers import Status
 from zinniahook_cli.sessions import Session
 from zinniahook_cli.settings import ClientSettings
-from zinniahook_core.codes import Code
+from zinniahook_core.codes import Code, ZinniahookError
 from zinniahook_core.models import Address
 from zinniahook_store import Store, configurations
 from zinniahook_testkit.certificates import Authority
@@ -122,6 +122,28 @@
 
         run(scenario)
 
+    def test_a_daemon_that_was_paused_catches_up(self, run):
+        """
+        Symptom: a daemon goes on with an old configuration for ever.
+        Sequence: an entry is paused, a change is committed, it goes on.
+        Cause: it missed the signal and had nothing else to tell it.
+        """
+
+        async def scenario(cluster, amina):
+            process = cluster.entries_by_name["entry-2"]
+            process.pause()
+            hasty = Operator(cluster, patience=0.5)
+            answer = await hasty.run("set tally.ticket.queue = 64")
+            process.resume()
+            assert answer.status is Status.UNFINISHED
+            (lagging,) = answer.facts["lagging"]
+            assert process.ready["control"] in lagging
+            answer = await amina.run("watch rollout")
+            assert answer.status is Status.OK
+            assert "entry-2" in answer.facts["in_force"]
+
+        run(scenario)
+
     def test_an_outage_during_the_rollout_delays_it_only(self, run):
         """
         Symptom: a change is in force on some daemons and never on the rest.
@@ -219,6 +241,22 @@
 
         run(scenario)
 
+    def test_an_operator_stops_only_what_serves_her_services(self, run):
+        async def scenario(cluster, amina):
+            await amina.run(
+                "begin; create operator moussa services = ledger;"
+                "create operator amina services = '*'; commit"
+            )
+            moussa = Operator(cluster, "moussa")
+            for text in ("drain target tally-1", "drain entry entry-1"):
+                with pytest.raises(ZinniahookError) as caught:
+                    await moussa.run(text)
+                assert caught.value.code is Code.NOT_PERMITTED
+            replies = await cluster.statuses()
+            assert {one.state for one in replies} == {"ready", "serving"}
+
+        run(scenario)
+
     def test_the_last_target_stays_unless_forced(self, run):
         async def scenario(cluster, amina):
             await amina.run("drain target tally-1; drain target tally-2")
