--- a/packages/zinniahook-core/tests/test_machine.py
+++ b/packages/zinniahook-core/tests/test_machine.py
@@ -50,8 +50,8 @@
 any_service = st.sampled_from(tuple(AGENTS))
 
 
-class Faults(RuleBasedStateMachine):
-    """What callers, operators, the platform and chance do to a cluster."""
+class World(RuleBasedStateMachine):
+    """A cluster whose promises are checked after every step."""
 
     @initialize(seed=index, loss=st.sampled_from((0.0, 0.1)))
     def start(self, seed, loss):
@@ -59,22 +59,39 @@
         self.attempts_by_key = {}
         for name in REQUEST_SERVICES * 2:
             self.cluster.connect(name)
-        self.send_on_flows()
 
     @invariant()
     def promises_hold(self):
         broken = self.cluster.broken()
         assert not broken, broken
 
+    def teardown(self):
+        self.cluster.settle()
+        self.promises_hold()
+
     @rule(seconds=st.sampled_from((0.1, 0.5, 2.0, 6.0)))
     def pass_time(self, seconds):
         self.cluster.run(seconds)
 
-    def teardown(self):
-        self.cluster.settle()
-        self.promises_hold()
+    def new_key(self, service):
+        key = f"{service} {len(self.attempts_by_key)}".encode()
+        self.attempts_by_key[key] = 2
+        return key
+
+    def send(self, which, key, attempt, seconds):
+        service = key.decode().partition(" ")[0]
+        connections = [c for c in self.cluster.connections if c[0] == service]
+        if connections:
+            connection = self.pick(connections, which)
+            self.cluster.request(connection, key, attempt, seconds)
+
+    @staticmethod
+    def pick(items, which):
+        return items[which % len(items)]
 
-    # Callers
+
+class Callers:
+    """What callers send, in time and late."""
 
     @rule(service=service)
     def connect(self, service):
@@ -114,6 +131,27 @@
         self.send(over, key, self.attempts_by_key[key], delay)
         self.cluster.run(0.1)
 
+    @precondition(lambda self: self.attempts_by_key)
+    @rule(which=index)
+    def cancel(self, which):
+        """Let a caller give up on a request in progress."""
+        for node in self.cluster.live("tally") + self.cluster.live("ledger"):
+            direct = [n for n, held in node.requests.items() if not held.origin]
+            for number in direct[: which % 3]:
+                node.cancel(number)
+
+    @rule(which=index, address=any_service)
+    def misdirect(self, which, address):
+        """Send a packet of one service to the address of another."""
+        connections = [c for c in self.cluster.connections if c[0] != address]
+        if connections:
+            _, _, connection_id, flow = self.pick(connections, which)
+            self.cluster.send_request(address, connection_id, flow, b"astray", 1)
+
+
+class Flows:
+    """Plain UDP flows that are already established."""
+
     @rule()
     def send_on_flows(self):
         """Send on every flow until each had the time to get through."""
@@ -128,15 +166,9 @@
         if cut and cluster.flows_expected:
             cluster.violations.append(f"no packet gets through on flows {cut}")
 
-    @rule(which=index, address=any_service)
-    def misdirect(self, which, address):
-        """Send a packet of one service to the address of another."""
-        connections = [c for c in self.cluster.connections if c[0] != address]
-        if connections:
-            _, _, connection_id, flow = self.pick(connections, which)
-            self.cluster.send_request(address, connection_id, flow, b"astray", 1)
 
-    # Planned changes
+class Planned:
+    """What operators and the platform do on purpose."""
 
     @rule(service=any_service)
     def join(self, service):
@@ -161,7 +193,9 @@
     def configure(self):
         self.cluster.configure()
 
-    # Faults
+
+class Unplanned:
+    """What chance does to processes, paths and the store."""
 
     @rule(which=index, service=service, back=st.booleans())
     def crash(self, which, service, back):
@@ -202,15 +236,6 @@
         if nodes:
             self.pick(nodes, which).target = self.cluster.rng.choice(TARGETS)
 
-    @precondition(lambda self: self.attempts_by_key)
-    @rule(which=index)
-    def cancel(self, which):
-        """Let a caller give up on a request in progress."""
-        for node in self.cluster.live("tally") + self.cluster.live("ledger"):
-            direct = [n for n, held in node.requests.items() if not held.origin]
-            for number in direct[: which % 3]:
-                node.cancel(number)
-
     @rule(down=st.booleans())
     def store(self, down):
         self.cluster.set_store(down)
@@ -219,21 +244,17 @@
     def lose_store_answers(self, losing):
         self.cluster.store.losing = losing
 
-    def new_key(self, service):
-        key = f"{service} {len(self.attempts_by_key)}".encode()
-        self.attempts_by_key[key] = 2
-        return key
 
-    def send(self, which, key, attempt, seconds):
-        service = key.decode().partition(" ")[0]
-        connections = [c for c in self.cluster.connections if c[0] == service]
-        if connections:
-            connection = self.pick(connections, which)
-            self.cluster.request(connection, key, attempt, seconds)
+class Faults(Callers, Flows, Planned, Unplanned, World):
+    """Everything at once."""
 
-    @staticmethod
-    def pick(items, which):
-        return items[which % len(items)]
+
+class Requests(Callers, Planned, World):
+    """Requests under planned changes."""
+
+
+class FlowsUnderChange(Flows, Planned, World):
+    """Established flows under planned changes."""
 
 
 def check(machine, examples, steps, verbosity=Verbosity.quiet):
@@ -253,8 +274,9 @@
 
 
 class TestPromises:
-    def test_hold_under_faults(self):
-        check(Faults, examples=60, steps=40)
+    @pytest.mark.parametrize("machine", [Faults, Requests, FlowsUnderChange])
+    def test_hold(self, machine):
+        check(machine, examples=40, steps=40)
 
 
 def grant_always(self, now, request, key, attempt, intent, *rest):
@@ -318,13 +340,13 @@
 
 
 class TestChecksCanFail:
-    def catches(self, promise, examples=60):
+    def catches(self, promise, machine=Faults):
         with pytest.raises(AssertionError, match=promise):
-            check(Faults, examples, steps=40)
+            check(machine, examples=80, steps=40)
 
     def test_request_that_runs_twice(self, monkeypatch):
         monkeypatch.setattr(claims.Claims, "begin", grant_always)
-        self.catches("ran twice")
+        self.catches("ran twice", Requests)
 
     def test_not_run_that_is_untrue(self, monkeypatch):
         monkeypatch.setattr(requests.Requests, "_refuse", refuse_without_tombstone)
@@ -341,7 +363,7 @@
     def test_new_work_on_a_leaving_agent(self, monkeypatch):
         handlers = agents._HANDLERS_BY_EVENT
         monkeypatch.setitem(handlers, events.DrainRequested, ignore)
-        self.catches("at leaving")
+        self.catches("at leaving", Requests)
 
     def test_generation_that_goes_down(self, monkeypatch):
         handlers = agents._HANDLERS_BY_EVENT
@@ -351,9 +373,9 @@
     def test_flow_lost_to_a_planned_change(self, monkeypatch):
         monkeypatch.setattr(homes.Homes, "was_elsewhere", never)
         monkeypatch.setattr(owners.OwnedFlows, "messages", tell_nobody)
-        self.catches("flow moved")
+        self.catches("flow moved", FlowsUnderChange)
 
     def test_flow_dropped_by_a_leaving_agent(self, monkeypatch):
         handlers = agents._HANDLERS_BY_EVENT
         monkeypatch.setitem(handlers, events.DrainRequested, stop_at_once)
-        self.catches("flow moved")
+        self.catches("flow moved", FlowsUnderChange)
