Be ready only with the rosters

A daemon that learned from a parent was ready with its configuration alone and dropped new flows until the rosters came. It now waits for the parent's first digest, or for the first read of the store. Tests of distribution, tree and entries pass; no measurement.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
@@ -83,7 +83,7 @@
     generations : Generations
         The values that the configuration was made from.
     learned : asyncio.Event
-        Set once a configuration is in force.
+        Set once a configuration is in force and the rosters have come.
     suspicion : asyncio.Event
         Set while another daemon is known to have a newer generation.
     depth : int
@@ -207,11 +207,19 @@
             self.configuration = configuration
             self._in_force_at = time.monotonic()
             self._node.configuration_changed(configuration)
-            self.learned.set()
         self.suspicion.clear()
         for subscription in self._subscriptions:
             subscription.changed()
 
+    def caught_up(self) -> None:
+        """Note that all that the followed source knew has come in.
+
+        A daemon that was ready with its configuration alone would drop new
+        flows until the rosters came.
+        """
+        if self.configuration is not None:
+            self.learned.set()
+
     def take_roster(self, roster: Roster, value: bytes = b"") -> None:
         """Take a roster if it is newer than the one known.
 
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from functools import partial
 from time import monotonic
 from typing import Any
@@ -18,8 +18,15 @@
 from zinniahook_core.effects import Count, EntryEffect, Log
 from zinniahook_core.entries import EntryCore
 from zinniahook_core.events import ConfigurationChanged, RosterChanged, Tick
-from zinniahook_core.models import Address, Configuration, Roster, Service
-from zinniahook_wire.tunnels import NO_ADDRESS, OVERHEAD, TunnelDatagram, TunnelKind
+from zinniahook_core.models import Address, Configuration, Protocol, Roster, Service
+from zinniahook_wire.tunnels import (
+    NO_ADDRESS,
+    OVERHEAD,
+    Tunnel,
+    TunnelDatagram,
+    TunnelKind,
+    make_address,
+)
 
 from .node import Node
 from .sockets import UdpSocket
@@ -59,13 +66,18 @@
 
 
 class ServiceSocket(UdpSocket):
-    """The socket of one service address, as the entry binds it."""
+    """The socket of one service address, as the entry binds it.
 
-    __slots__ = ("bound", "service")
+    ``prefix`` is what the tunnel headers of the service's QUIC packets share,
+    empty for another protocol.
+    """
+
+    __slots__ = ("bound", "prefix", "service")
 
     def __init__(self, entry: Entry, service: Service, address: Address) -> None:
         self.service = service
         self.bound = address
+        self.prefix = entry.prefix(service)
         super().__init__(address, partial(entry.forward, self))
 
 
@@ -85,7 +97,7 @@
         self._sockets_by_number: dict[int, ServiceSocket] = {}
         self._refused: set[int] = set()
         self._send = node.tunnel_sender
-        self._encode: Callable[[TunnelDatagram], bytes]
+        self._tunnel: Tunnel
         self._generation = 0
         node.on_tunnel(self._answer)
         node.on_configuration(self._configure)
@@ -106,13 +118,29 @@
         if len(payload) > LONGEST_PAYLOAD:
             self._drop(Code.DATAGRAM_TOO_LONG)
             return
-        caller = Address(source[0], source[1])
+        caller = make_address(source[:2])
         service = socket.service
         agent = self._core.route(monotonic(), service, caller, payload)
         if isinstance(agent, Code):
             self._drop(agent)
             return
-        data = self._encode(
+        if socket.prefix:
+            data = self._tunnel.wrap(socket.prefix, caller, payload)
+        else:
+            data = self._encode(service, caller, payload)
+        if not self._send(data, agent):
+            self._drop(Code.SOCKET_FULL)
+            return
+        self._counters["entry.to_agents"] += 1
+
+    def prefix(self, service: Service) -> bytes:
+        """Return what the tunnel headers of a QUIC service's packets share."""
+        if service.protocol is not Protocol.QUIC:
+            return b""
+        return self._tunnel.prefix(TO_AGENT, service.number, self._generation)
+
+    def _encode(self, service: Service, caller: Address, payload: bytes) -> bytes:
+        return self._tunnel.encode(
             TunnelDatagram(
                 TO_AGENT,
                 service.number,
@@ -124,10 +152,6 @@
                 payload,
             )
         )
-        if not self._send(data, agent):
-            self._drop(Code.SOCKET_FULL)
-            return
-        self._counters["entry.to_agents"] += 1
 
     def close(self) -> None:
         """Release every service address."""
@@ -158,7 +182,7 @@
 
     def _configure(self, configuration: Configuration) -> None:
         # Kept here for the packet path, where each look-up counts.
-        self._encode = self._node.tunnel.encode
+        self._tunnel = self._node.tunnel
         self._generation = configuration.generation
         self._handle(ConfigurationChanged(configuration))
         services_by_number = {
@@ -169,12 +193,14 @@
             service = services_by_number.get(number)
             socket = self._sockets_by_number[number]
             if service is socket.service:
+                socket.prefix = self.prefix(service)
                 continue
             if service is None or self._bind_address(service) != socket.bound:
                 socket.close()
                 del self._sockets_by_number[number]
             else:
                 socket.service = service
+                socket.prefix = self.prefix(service)
         self._refused &= set(services_by_number)
         for number, service in services_by_number.items():
             if number not in self._sockets_by_number:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
@@ -19,7 +19,7 @@
 from zinniahook_core.events import RosterWritten
 from zinniahook_core.models import Address, Configuration, Roster
 from zinniahook_store import Store
-from zinniahook_wire.tunnels import Tunnel, TunnelDatagram
+from zinniahook_wire.tunnels import Tunnel, TunnelDatagram, make_address
 
 from . import logs
 from .announcements import Announcement
@@ -176,8 +176,9 @@
             return
         if datagram.generation > self.generation:
             self.distribution.suspect(datagram.generation)
+        sender = make_address(source[:2])
         for callback in self._receivers:
-            callback(datagram, Address(source[0], source[1]))
+            callback(datagram, sender)
 
     # Configuration and rosters
 
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/origin.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/origin.py
@@ -185,6 +185,9 @@
                 generations.add_manifest(item.value)
             await self._read_values(generations.missing(generation))
         self._distribution.apply()
+        # The rosters that came with the pointer are taken before the next
+        # turn of the loop.
+        asyncio.get_running_loop().call_soon(self._distribution.caught_up)
 
     async def _read_values(self, digests: list[str]) -> None:
         if not digests:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
@@ -176,6 +176,8 @@
             raise SourceError(f"too far from the store: {digest.depth} steps")
         distribution.following(self)
         distribution.heard(digest.age, digest.depth + 1)
+        # A digest is sent after all that the parent has to tell.
+        distribution.caught_up()
         services = distribution.generations.services
         same = digest.rosters == distribution.rosters_digest(services)
         if digest.generation == generation and same:
--- a/packages/zinniahook-daemon/tests/test_distribution.py
+++ b/packages/zinniahook-daemon/tests/test_distribution.py
@@ -52,7 +52,11 @@
                     await asyncio.wait_for(child.ready(), 20)
                     assert child.generation == 3
                     assert child.configuration == parent.configuration
-                    await nodes_agree(parent, child)
+                    # Ready with the rosters, or new flows would be dropped.
+                    assert (
+                        child.distribution.rosters_by_service
+                        == parent.distribution.rosters_by_service
+                    )
                     await eventually(lambda: child.distribution.depth == 1)
 
         asyncio.run(run())
