testkit: show the daemons' errors in the demo

Lines of the stand-ins were counted as errors of the daemons. Only the daemons' own errors are shown now, and streams only where there are any.

--- a/packages/zinniahook-testkit/src/zinniahook_testkit/demo.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/demo.py
@@ -153,9 +153,9 @@
 
 def _print_errors(log: Path) -> None:
     lines = log.read_text(errors="replace").splitlines()
-    errors = [line for line in lines if '"level": "info"' not in line]
+    errors = [line for line in lines if '"level": "error"' in line]
     if errors:
-        print(f"  {len(errors)} lines of errors and warnings, such as")
+        print(f"  the daemons logged {len(errors)} errors, such as")
         print(f"    {errors[-1][-LOG_SHOWN:]}")
 
 
@@ -181,6 +181,12 @@
     return f"{deployment.entries} entries, {services}"
 
 
+def _streams(summary: Summary) -> str:
+    if not summary.streams_max_to_mean:
+        return ""
+    return f"; streams: max/mean {summary.streams_max_to_mean:.2f}"
+
+
 def _print(report: Report) -> None:
     for summary in report.summaries:
         print(
@@ -191,8 +197,7 @@
         )
         print(
             f"    work: max/mean {summary.work_max_to_mean:.2f},"
-            f" variation {summary.work_variation:.2f};"
-            f" streams: max/mean {summary.streams_max_to_mean:.2f}"
+            f" variation {summary.work_variation:.2f}{_streams(summary)}"
         )
         for path, quantiles in summary.quantiles_by_path.items():
             figures = " ".join(f"{q} {quantiles[q] * 1000:.1f}" for q in QUANTILES)
