Answer by two entries while nothing is acknowledged

Entries were tried one by one with a probe timer that doubles. While a probe is unanswered each datagram now goes out by the entry in use and by the one that was heard last. Found after one feed of 28 fell silent when an entry was killed on a machine at load 23; cause not proved.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/quic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/quic.py
@@ -180,6 +180,7 @@
         self.flow = flow
         self.number = 0
         self.entry = Address("", 0)
+        self.other_entry: Address | None = None
         self.caller = Address("", 0)
         self.is_switched = False
         self.session: Session | None = None
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
@@ -143,6 +143,12 @@
         self, connection: ServerConnection, payload: bytes, caller: Address
     ) -> None:
         self._to_caller(caller, connection.entry, payload)
+        # While nothing is acknowledged nobody knows which entry still works,
+        # and to try them one by one, with a probe timer that doubles, takes
+        # longer than a caller waits. QUIC drops what arrives twice.
+        other = connection.other_entry
+        if connection.probes and other is not None and other != connection.entry:
+            self._to_caller(caller, other, payload)
 
     def _begin(self, connection: ServerConnection) -> Http3Session:
         return Http3Session(connection, self.agent, self.connections.touch)
@@ -155,6 +161,7 @@
             self._paths.heard(now, connection.entry, connection.flow)
         entry = self._paths.unanswered(now, connection.flow)
         if entry is not None and entry != connection.entry:
+            connection.other_entry = connection.entry
             connection.entry = entry
             self.node.count("agent.switched")
 
@@ -223,6 +230,8 @@
             self._drop(Code.CONNECTION_ID_UNKNOWN)
 
     def _note_path(self, connection: ServerConnection, entry: Address) -> None:
+        if connection.probes and entry != connection.entry:
+            connection.other_entry = entry
         # Only a flow that had to switch needs a memory of its own.
         if not connection.is_switched:
             self._paths.heard(self.node.now(), entry)
@@ -332,6 +341,7 @@
             caller,
             NO_ADDRESS,
             payload,
+            self.agent.service.protocol is not Protocol.QUIC,
         )
         self.node.send_tunnel(entry, datagram)
 
