--- a/packages/zinniahook-core/src/zinniahook_core/routing.py
+++ b/packages/zinniahook-core/src/zinniahook_core/routing.py
@@ -33,6 +33,7 @@
 ]
 
 CONNECTION_ID_LENGTH = 17
+SHORT_HEADER = 1 + CONNECTION_ID_LENGTH
 MEMO_SIZE = 16384
 
 LONG_HEADER = 0x80
@@ -145,14 +146,14 @@
     length = len(datagram)
     if length < LONG_HEADER_MINIMUM:
         return Code.DATAGRAM_MALFORMED
-    if not datagram[0] & LONG_HEADER:
-        if length <= CONNECTION_ID_LENGTH:
+    if datagram[0] < LONG_HEADER:
+        if length < SHORT_HEADER:
             return Code.DATAGRAM_MALFORMED
-        return False, bytes(datagram[1 : 1 + CONNECTION_ID_LENGTH])
+        return False, datagram[1:SHORT_HEADER]
     size = datagram[5]
     if size > LONGEST_CONNECTION_ID or length < LONG_HEADER_MINIMUM + size:
         return Code.DATAGRAM_MALFORMED
-    return True, bytes(datagram[6 : 6 + size])
+    return True, datagram[6 : 6 + size]
 
 
 def flow_key(caller: Address) -> bytes:
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/bench.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/bench.py
@@ -19,7 +19,14 @@
 __all__ = ["main"]
 
 # Importing these modules registers the scenarios that they measure.
-MEASURING_MODULES = ("packets", "slopes")
+MEASURING_MODULES = (
+    "changes",
+    "connections",
+    "decisions",
+    "packets",
+    "rollout",
+    "slopes",
+)
 FOLDER = Path("bench")
 RESULTS = FOLDER / "results"
 
--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/decisions.py
@@ -0,0 +1,94 @@
+"""Scenarios of the decisions: placement, overload, at most once."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from . import atmostonce, imbalance, overload
+from .imbalance import SIZES, Imbalance, Reports
+from .scenarios import Figure, scenario
+
+__all__ = ["measure_at_most_once", "measure_imbalance", "measure_overload"]
+
+HASHING = "hashing"
+OURS = "placement"
+
+
+@scenario("imbalance")
+def measure_imbalance(
+    sizes: Sequence[str], policies: Sequence[str], seconds: float, seed: int = 1
+) -> list[Figure]:
+    """Compare placement with the baselines at sizes, for each kind of report.
+
+    Ratios are of coefficients of variation of busy slots over the targets.
+    """
+    figures = []
+    for size in SIZES:
+        if size.name not in sizes:
+            continue
+        runs_by_reports = {
+            reports: {
+                policy: imbalance.measure(size, policy, reports, seed, seconds)
+                for policy in policies
+            }
+            for reports in (Reports.FRESH, Reports.STALE, Reports.LYING)
+        }
+        figures += _of_size(size.name, runs_by_reports)
+    return figures
+
+
+def _of_size(
+    size: str, runs_by_reports: dict[Reports, dict[str, Imbalance]]
+) -> list[Figure]:
+    figures = []
+    for reports, runs in runs_by_reports.items():
+        ours = runs[OURS]
+        for policy, run in runs.items():
+            name = f"{size} {reports.value} {policy}"
+            figures.append(Figure(f"{name} deviation", run.deviation, "cv"))
+            figures.append(Figure(f"{name} peak", run.peak, "max/mean"))
+        ratio = ours.deviation / runs[HASHING].deviation
+        figures.append(Figure(f"{size} {reports.value} to hashing", ratio, "ratio"))
+    fresh = runs_by_reports[Reports.FRESH][OURS]
+    lying = runs_by_reports[Reports.LYING][OURS]
+    figures.append(
+        Figure(f"{size} lying to fresh", lying.deviation / fresh.deviation, "ratio")
+    )
+    return figures
+
+
+@scenario("overload")
+def measure_overload(**parameters: float) -> list[Figure]:
+    """Measure goodput under overload and the time to recover from it."""
+    result = overload.measure(**parameters)
+    return [
+        Figure("goodput kept", result.core.kept, "ratio"),
+        Figure("recovery", result.core.recovery, "s"),
+        Figure("goodput kept, unbounded queue", result.baseline.kept, "ratio"),
+        Figure("recovery, unbounded queue", result.baseline.recovery, "s"),
+    ]
+
+
+@scenario("at-most-once")
+def measure_at_most_once(
+    requests: int, agents: int, rate: float, seeds: Sequence[int]
+) -> list[Figure]:
+    """Count doubled and falsely refused requests under faults, over seeds."""
+    results = [atmostonce.measure(requests, agents, rate, seed) for seed in seeds]
+
+    def total(name: str) -> int:
+        return sum(getattr(result, name) for result in results)
+
+    names = (
+        "requests",
+        "doubled",
+        "falsely_refused",
+        "open",
+        "refusals",
+        "crashes",
+        "pauses",
+        "leaves",
+    )
+    figures = [Figure(name.replace("_", " "), total(name), "count") for name in names]
+    share = total("unknown") / total("requests")
+    return [*figures, Figure("unknown share", share, "share")]
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/packets.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packets.py
@@ -95,6 +95,7 @@
             caller,
             Address("0.0.0.0", 0),
             bytes(size),
+            covered=False,
         )
         return [self.tunnel.encode(datagram)]
 
--- a/packages/zinniahook-wire/src/zinniahook_wire/tunnels.py
+++ b/packages/zinniahook-wire/src/zinniahook_wire/tunnels.py
@@ -27,7 +27,14 @@
 from zinniahook_core.codes import Code
 from zinniahook_core.models import Address, Key
 
-__all__ = ["NO_ADDRESS", "OVERHEAD", "Tunnel", "TunnelDatagram", "TunnelKind"]
+__all__ = [
+    "NO_ADDRESS",
+    "OVERHEAD",
+    "Tunnel",
+    "TunnelDatagram",
+    "TunnelKind",
+    "make_address",
+]
 
 NO_ADDRESS = Address("0.0.0.0", 0)
 """Stands where a datagram names no address."""
@@ -98,7 +105,8 @@
 
 # What TunnelDatagram._make does, without its 0.4 us of checks per datagram.
 _make_datagram = functools.partial(tuple.__new__, TunnelDatagram)
-_make_address = functools.partial(tuple.__new__, Address)
+make_address = functools.partial(tuple.__new__, Address)
+"""Makes an `Address` of a pair as a socket gives it, without further checks."""
 
 
 def _pack_address(address: tuple[str, int]) -> bytes:
@@ -114,7 +122,7 @@
 def _unpack_address(packed: bytes) -> Address:
     port = int.from_bytes(packed[16:], "big")
     if packed.startswith(_MAPPED):
-        return _make_address((socket.inet_ntoa(packed[12:16]), port))
+        return make_address((socket.inet_ntoa(packed[12:16]), port))
     return Address(socket.inet_ntop(socket.AF_INET6, packed[:16]), port)
 
 
