--- a/packages/zinniahook-testkit/src/zinniahook_testkit/imbalance.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/imbalance.py
@@ -159,6 +159,7 @@
             self._baseline = BASELINES_BY_NAME[name](names, chooser)
         self._moves_requests = policy == "placement"
         self._ideal = policy == IDEAL
+        self._ties = random.Random(f"{seed} ties")
         self._targets_by_name = {
             name: Target(name, size.slots, self._placement(name, seed))
             for name in names
@@ -262,8 +263,7 @@
         seconds = self._rng.expovariate(1 / self._size.seconds)
         self.requests += 1
         if self._ideal:
-            targets = self._targets_by_name.values()
-            self._arrive(min(targets, key=Target.filled), seconds)
+            self._arrive(self._least_filled(), seconds)
             return
         peer = None
         if self._moves_requests:
@@ -276,6 +276,12 @@
         target.placement.handed(self._now, peer)
         self._after(LATENCY, self._arrive, self._targets_by_name[peer], seconds)
 
+    def _least_filled(self) -> Target:
+        targets = list(self._targets_by_name.values())
+        # Its own generator: callers stay the same for every policy.
+        self._ties.shuffle(targets)
+        return min(targets, key=Target.filled)
+
     def _arrive(self, target: Target, seconds: float) -> None:
         if target.busy >= target.slots:
             target.queue.append((self._now, seconds))
