Share equal request classes between services

Cause: an entry holds all services, and each kept its own copy of its classes. Change: services with equal classes share one read-only mapping.

--- a/packages/zinniahook-core/src/zinniahook_core/configuration.py
+++ b/packages/zinniahook-core/src/zinniahook_core/configuration.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import fnmatch
+import functools
 import tomllib
+import types
 from collections.abc import Iterator, Mapping
 from typing import Any, NamedTuple
 
@@ -45,6 +47,9 @@
 CLASSES_LIMIT = 16
 """Request classes a service may have; each costs a queue at every agent."""
 
+SHARED_CLASSES = 1024
+"""Sets of classes of which services share one copy."""
+
 
 class Rollout(NamedTuple):
     """How a change of a risky setting is rolled out.
@@ -308,7 +313,8 @@
         values = self._fields(rest, SERVICE_FIELDS_BY_NAME, key)
         values.setdefault("number", 0)
         values.setdefault("address", Address("0.0.0.0", 0))
-        return Service(name, classes_by_name=classes, **values)
+        shared = _shared_classes(tuple(classes.values()))
+        return Service(name, classes_by_name=shared, **values)
 
     def _class(self, name: str, table: Mapping[str, Any], key: str) -> RequestClass:
         values = self._fields(table, CLASS_FIELDS_BY_NAME, key)
@@ -363,6 +369,16 @@
         self.problems.append(Problem(key, reason))
 
 
+@functools.lru_cache(SHARED_CLASSES)
+def _shared_classes(classes: tuple[RequestClass, ...]) -> Mapping[str, RequestClass]:
+    """Return one mapping for all services with equal classes.
+
+    An entry holds every service, and most have the classes of a few kinds; a
+    copy for each would take two thirds of the memory of them all.
+    """
+    return types.MappingProxyType({each.name: each for each in classes})
+
+
 def _check_services(document: Document) -> Iterator[Problem]:
     retired = set(document.retired_by_name.values())
     names_by_number: dict[int, str] = {}
