--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,8 @@
 bench: install
 	$(PYTHON) -m zinniahook_testkit.bench $(NAME)
 
+stubs:
+	packages/zinniahook-wire/stubs.sh
+
 clean:
 	rm -rf $(VENV)
