Ask only the daemons that lag; divide waits from stages

Cause: a wait asked every daemon and read every roster four times a second, which doesn't carry to thousands.

--- a/packages/zinniahook-cli/src/zinniahook_cli/fleets.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/fleets.py
@@ -28,6 +28,7 @@
     rosters_by_service: dict[str, Roster]
     daemons_by_name: dict[str, Daemon]
     data_centres_by_name: dict[str, str]
+    controls: tuple[Address, ...]
     survey: Survey
 
     @property
@@ -39,12 +40,6 @@
             for _, member in sorted(roster.by_name.items())
         )
 
-    @property
-    def controls(self) -> tuple[Address, ...]:
-        """Control addresses of all daemons that were asked."""
-        silent = (one.control for one in self.survey.silent)
-        return (*self.survey.answers_by_control, *silent)
-
     @property
     def unlisted(self) -> tuple[str, ...]:
         """Daemons that learn from others but that nothing tells how to reach."""
@@ -105,7 +100,8 @@
     survey = Survey({}, ())
     if ask:
         survey = await daemons.survey(controls, counters=counters)
-    return Fleet(rosters, daemons_by_name, data_centres, survey)
+    addresses = tuple(dict.fromkeys(controls))
+    return Fleet(rosters, daemons_by_name, data_centres, addresses, survey)
 
 
 def others_ready(roster: Roster, leaving: set[str]) -> int:
--- a/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
@@ -1,4 +1,4 @@
-"""Commits in stages, and waits until a generation is in force everywhere."""
+"""Commits everywhere at once, or in stages that are watched."""
 
 from __future__ import annotations
 
@@ -11,13 +11,11 @@
 from zinniahook_core import configuration
 from zinniahook_core.codes import Code, ZinniahookError
 from zinniahook_core.configuration import Document
-from zinniahook_store import StoreError, configurations
+from zinniahook_store import configurations
 from zinniahook_store.configurations import Committed, Outcome, Refused, Stage, Stored
 
-from .answers import Answer, Status
 from .changes import changed_settings
-from .daemons import Progress, progress
-from .fleets import Fleet, read_fleet
+from .fleets import read_fleet
 
 if TYPE_CHECKING:
     from .sessions import Session
@@ -29,11 +27,10 @@
     "commit",
     "read_traffic",
     "stages",
-    "until_everywhere",
 ]
 
-LOOK_EVERY = 0.25
-"""Seconds between two questions to the daemons that lag."""
+WATCH_EVERY = 1.0
+"""Seconds between two looks at the counters during a stage."""
 
 DROPPED_COUNTERS = tuple(
     f"entry.dropped.{code.name}"
@@ -91,47 +88,6 @@
     )
 
 
-async def until_everywhere(session: Session, generation: int) -> Answer:
-    """Ask the daemons until each has the generation in force.
-
-    Gives up after the session's patience and names those that lag, from their
-    own answers: what the store holds says nothing of what has arrived.
-    """
-    deadline = time.monotonic() + session.settings.patience
-    fleet: Fleet | None = None
-    line = found = None
-    while True:
-        fleet = await _look(session, fleet)
-        if fleet is not None:
-            found = progress(generation, fleet.survey, fleet.unlisted)
-        if line != _line(generation, found):
-            line = _line(generation, found)
-            session.say(line)
-        done = found is not None and found.everywhere
-        if done or time.monotonic() >= deadline:
-            break
-        await asyncio.sleep(LOOK_EVERY)
-    facts = {"in_force": [], "lagging": []}
-    if found is not None:
-        facts = {"in_force": list(found.in_force), "lagging": list(found.lagging)}
-    status = Status.OK if done else Status.UNFINISHED
-    return Answer(line, facts=facts, status=status)
-
-
-async def _look(session: Session, known: Fleet | None) -> Fleet | None:
-    """Ask all daemons; those known already if the store gives no answer.
-
-    Without the latter an outage just after a commit would turn the answer
-    "committed" into an error, and the operator would make the change again.
-    """
-    try:
-        return await read_fleet(session.store, session.daemons)
-    except StoreError:
-        if known is None:
-            return None
-        return known._replace(survey=await session.daemons.survey(known.controls))
-
-
 async def commit(
     session: Session,
     base: Stored,
@@ -269,7 +225,7 @@
         left = deadline - time.monotonic()
         if left <= 0:
             return None
-        await asyncio.sleep(min(LOOK_EVERY, left))
+        await asyncio.sleep(min(WATCH_EVERY, left))
 
 
 async def _take_back(
@@ -290,19 +246,6 @@
     return Refused(Code.ROLLOUT_STOPPED, reason)
 
 
-def _line(generation: int, found: Progress | None) -> str:
-    if found is None:
-        return (
-            f"generation {generation}: the store doesn't tell which daemons there are"
-        )
-    total = len(found.in_force) + len(found.lagging)
-    line = f"generation {found.generation}: in force on {len(found.in_force)} of "
-    line += f"{total} daemons"
-    if found.lagging:
-        line += f"; lagging: {', '.join(found.lagging)}"
-    return line
-
-
 def _where(stage: Stage | None) -> str:
     if stage is None:
         return "everywhere"
--- a/packages/zinniahook-cli/src/zinniahook_cli/rotations.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/rotations.py
@@ -13,8 +13,8 @@
 from zinniahook_store.configurations import SECRET_SIZE, Committed, Stored
 
 from .answers import Answer, Status
-from .rollouts import until_everywhere
 from .statements import Rotate
+from .waits import until_everywhere
 
 if TYPE_CHECKING:
     from .sessions import Session
--- a/packages/zinniahook-cli/src/zinniahook_cli/sessions.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/sessions.py
@@ -13,7 +13,7 @@
 from zinniahook_store import Store, configurations
 from zinniahook_store.configurations import Committed, Refused, Stored, Unknown
 
-from . import drains, reports, rollouts, rotations, statements, syntax, views
+from . import drains, reports, rollouts, rotations, statements, syntax, views, waits
 from .answers import MEANINGS_BY_STATUS, Answer, Status, status_of
 from .changes import Change, change, not_permitted, unknown
 from .daemons import Daemons
@@ -141,7 +141,7 @@
         )
         if not (self.wait if wait is None else wait):
             return answer
-        waited = await rollouts.until_everywhere(self, outcome.generation)
+        waited = await waits.until_everywhere(self, outcome.generation)
         return Answer(
             f"{answer.text}\n{waited.text}",
             facts={**answer.facts, **(waited.facts or {})},
@@ -303,7 +303,7 @@
 @_runs(statements.Watch)
 async def _watch(session: Session, statement: statements.Watch) -> Answer:
     stored = await configurations.read(session.store)
-    return await rollouts.until_everywhere(session, stored.generation)
+    return await waits.until_everywhere(session, stored.generation)
 
 
 @_runs(statements.Drain)
--- /dev/null
+++ b/packages/zinniahook-cli/src/zinniahook_cli/waits.py
@@ -0,0 +1,111 @@
+"""Waits until a generation is in force everywhere, by the daemons' own answers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from zinniahook_core.models import Address
+from zinniahook_store import StoreError
+from zinniahook_wire.control_pb2 import StatusReply
+
+from .answers import Answer, Status
+from .daemons import Progress, Survey, progress
+from .fleets import Fleet, read_fleet
+
+if TYPE_CHECKING:
+    from .sessions import Session
+
+__all__ = ["until_everywhere"]
+
+LOOK_EVERY = 0.25
+"""Seconds between two questions to the daemons that lag."""
+
+READ_EVERY = 2.0
+"""Seconds between two reads of the rosters while daemons lag."""
+
+
+async def until_everywhere(session: Session, generation: int) -> Answer:
+    """Ask the daemons until each has the generation in force.
+
+    Gives up after the session's patience and names those that lag, from their
+    own answers: what the store holds says nothing of what has arrived.
+    """
+    deadline = time.monotonic() + session.settings.patience
+    wait = _Wait(session, generation)
+    line = ""
+    while True:
+        found = await wait.look()
+        if line != _line(generation, found):
+            line = _line(generation, found)
+            session.say(line)
+        done = found is not None and found.everywhere
+        if done or time.monotonic() >= deadline:
+            break
+        await asyncio.sleep(LOOK_EVERY)
+    facts = {"in_force": [], "lagging": []}
+    if found is not None:
+        facts = {"in_force": list(found.in_force), "lagging": list(found.lagging)}
+    status = Status.OK if done else Status.UNFINISHED
+    return Answer(line, facts=facts, status=status)
+
+
+class _Wait:
+    """Asks the daemons again and again, but only those that lagged.
+
+    No daemon goes back, so one that has the generation needn't be asked again;
+    among thousands only the few that lag cost more than one call.
+    """
+
+    def __init__(self, session: Session, generation: int) -> None:
+        self._session = session
+        self._generation = generation
+        self._fleet: Fleet | None = None
+        self._read_at = -float("inf")
+        self._done: dict[Address, StatusReply] = {}
+
+    async def look(self) -> Progress | None:
+        """Return how far the generation is; None if no daemon is known."""
+        await self._read()
+        fleet = self._fleet
+        if fleet is None:
+            return None
+        waiting = [one for one in fleet.controls if one not in self._done]
+        survey = await self._session.daemons.survey(waiting)
+        for control, reply in survey.answers_by_control.items():
+            if reply.generation >= self._generation:
+                self._done[control] = reply
+        known = {one: self._done[one] for one in fleet.controls if one in self._done}
+        answers = {**survey.answers_by_control, **known}
+        self._fleet = fleet._replace(survey=Survey(answers, survey.silent))
+        return progress(self._generation, self._fleet.survey, self._fleet.unlisted)
+
+    async def _read(self) -> None:
+        """Read now and then who there is; keep to what is known in an outage.
+
+        Otherwise an outage just after a commit would turn the answer
+        "committed" into an error, and the operator would make it again.
+        """
+        if time.monotonic() - self._read_at < READ_EVERY:
+            return
+        try:
+            self._fleet = await read_fleet(
+                self._session.store, self._session.daemons, ask=False
+            )
+        except StoreError:
+            return
+        self._read_at = time.monotonic()
+
+
+def _line(generation: int, found: Progress | None) -> str:
+    if found is None:
+        return (
+            f"generation {generation}: the store doesn't tell which daemons there are"
+        )
+    total = len(found.in_force) + len(found.lagging)
+    line = f"generation {found.generation}: in force on {len(found.in_force)} of "
+    line += f"{total} daemons"
+    if found.lagging:
+        line += f"; lagging: {', '.join(found.lagging)}"
+    return line
--- a/packages/zinniahook-cli/tests/test_reports.py
+++ b/packages/zinniahook-cli/tests/test_reports.py
@@ -85,7 +85,7 @@
                 },
             ),
         }
-        fleet = Fleet(rosters, {}, {}, Survey({}, ()))
+        fleet = Fleet(rosters, {}, {}, (), Survey({}, ()))
         here = Address("127.0.0.1", 1)
         stops = [Stop("tally-1", here, "tally"), Stop("ledger-1", here, "ledger")]
         assert emptied(fleet, stops) == ["ledger"]
