Let daemons that started together part into a tree

Daemons that started at once found nobody in the list and all watched the store for good. Those that watch look again every half minute whether they still should; choosing a source is a module of its own.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/announcements.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/announcements.py
@@ -125,7 +125,7 @@
                 await self._until_written(self._announce)
             # Only those few look that follow the store: each look reads the
             # list, which grows with the data centre.
-            elif self._node.distribution.watches:
+            elif self._node.distribution.learner.watches:
                 await self._probe_one()
 
     async def _until_written(self, change: Change) -> None:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
@@ -8,8 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import random
 import ssl
 import sys
 import time
@@ -17,50 +15,25 @@
 from typing import TYPE_CHECKING
 
 from grpclib.server import Stream
-from zinniahook_core import rendezvous
 from zinniahook_core.codes import ZinniahookError
 from zinniahook_core.effects import WriteRoster
 from zinniahook_core.events import RosterWritten
-from zinniahook_core.models import Address, Configuration, Roster
+from zinniahook_core.models import Configuration, Roster
 from zinniahook_wire import documents
 from zinniahook_wire.control_pb2 import SubscribeRequest, Update
 from zinniahook_wire.tunnels import NO_ADDRESS
 
-from . import trees
-from .announcements import read_daemons
 from .generations import Generations
+from .learning import TOLERANCE, Learner
 from .origin import Origin
-from .parents import Parent
 from .settings import Role
-from .sources import Source, SourceError
 from .subscriptions import Subscription
-from .trees import Place
 
 if TYPE_CHECKING:
     from .node import Node
 
 __all__ = ["Distribution"]
 
-TOLERANCE = 6.0
-"""Seconds that a source may be cut off from the store before others are tried."""
-
-PATIENCE = 2.0
-PATIENCE_LIMIT = 320.0
-"""Least and most seconds that a daemon stays with a source that is cut off, once
-every source was. With the store down none is better, and changing between them
-again and again would be of no use to anyone."""
-
-BACKOFF = 0.2
-BACKOFF_LIMIT = 3.0
-"""Seconds between two rounds over all sources, doubled after each."""
-
-RETURN = 30.0
-"""Seconds after which a daemon that fell back to the store tries its parents."""
-
-RETRY = 5.0
-"""Seconds after which a daemon that should watch the store tries it again. Two
-that learned from each other for longer would hear of no change."""
-
 SUSPICION_INTERVAL = 2.0
 """Seconds between two suspicions taken up; each costs the source a call."""
 
@@ -88,8 +61,8 @@
         Set while another daemon is known to have a newer generation.
     depth : int
         Steps between this daemon and the store.
-    watches : bool
-        Whether this daemon follows the store rather than others.
+    learner : Learner
+        Chooses whom to learn from.
     """
 
     def __init__(self, node: Node) -> None:
@@ -104,19 +77,13 @@
         self.learned = asyncio.Event()
         self.suspicion = asyncio.Event()
         self.depth = 0
-        self.watches = True
+        self.learner = Learner(node, self)
         self.origin = Origin(self, node.store)
         self._heard_at = -float("inf")
-        self._patience = 0.0
-        self._followed_at = 0.0
-        self._alternatives = False
-        self._last_candidates: frozenset[str] = frozenset()
         self._in_force_at = 0.0
         self._suspected_at = -float("inf")
-        self._failures_by_source: dict[str, str] = {}
         self._values_by_service: dict[str, bytes] = {}
         self._subscriptions: set[Subscription] = set()
-        self._task: asyncio.Task | None = None
 
     # What is known
 
@@ -138,10 +105,8 @@
     @property
     def reason(self) -> str:
         """Why there is no configuration yet: what each source answered."""
-        failures = "; ".join(
-            f"{name}: {reason}" for name, reason in self._failures_by_source.items()
-        )
-        return f"no configuration learned yet ({failures or 'store not asked yet'})"
+        reason = self.learner.reason or "store not asked yet"
+        return f"no configuration learned yet ({reason})"
 
     @property
     def control(self) -> str:
@@ -183,13 +148,9 @@
         SourceError
             If that is too long ago, and another source may be better.
         """
-        now = time.monotonic()
-        self._heard_at = max(self._heard_at, now - age)
+        self._heard_at = max(self._heard_at, time.monotonic() - age)
         self.depth = depth
-        if age <= TOLERANCE:
-            self._patience = 0.0
-        elif self._alternatives and now - self._followed_at > self._patience:
-            raise SourceError("cut off from the store")
+        self.learner.judge(age)
 
     def apply(self) -> None:
         """Put the wanted generation in force if it is whole and newer.
@@ -275,93 +236,13 @@
 
     def start(self) -> None:
         """Start to learn."""
-        self._task = asyncio.create_task(self._run())
+        self.learner.start()
 
     async def stop(self) -> None:
         """Stop to learn and to serve."""
         for subscription in self._subscriptions:
             subscription.close()
-        if self._task is None:
-            return
-        self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
-
-    async def _run(self) -> None:
-        pause = BACKOFF
-        while True:
-            sources = await self._sources()
-            self._alternatives = len(sources) > 1
-            for source, limit in sources:
-                await self._follow(source, limit)
-            if self._node.announcement is not None:
-                self._node.announcement.check()
-            if self.age <= TOLERANCE:
-                pause = BACKOFF
-            else:
-                longer = max(PATIENCE, self._patience * 2)
-                self._patience = min(PATIENCE_LIMIT, longer)
-            # Jitter: all that lost the same parent would come back at once.
-            await asyncio.sleep(pause * random.uniform(0.5, 1.5))
-            pause = min(BACKOFF_LIMIT, pause * 2)
-
-    async def _sources(self) -> list[tuple[Source, float | None]]:
-        """Return what to try in order, each with the seconds to stay with it."""
-        control = self._node.settings.control
-        place = Place(True, ())
-        if control.watchers:
-            candidates = await self._candidates()
-            place = trees.place(
-                self.control, candidates, control.watchers, control.fan_out
-            )
-        elif control.parents:
-            others = {str(address) for address in control.parents} - {self.control}
-            place = Place(False, tuple(rendezvous.rank(self.name.encode(), others)))
-        self.watches = place.watches
-        parents = [Parent(self, Address.parse(text)) for text in place.parents]
-        if place.watches:
-            return [(self.origin, None), *((one, RETRY) for one in parents)]
-        return [*((one, None) for one in parents), (self.origin, RETURN)]
-
-    async def _candidates(self) -> frozenset[str]:
-        """Return the daemons that serve others, as far as known."""
-        settings = self._node.settings
-        if settings.control.parents:
-            return frozenset(map(str, settings.control.parents))
-        try:
-            daemons = await read_daemons(self._node.store, settings.data_centre)
-        except ZinniahookError:
-            return self._last_candidates
-        self._last_candidates = frozenset(str(one.control) for one in daemons.values())
-        return self._last_candidates
-
-    async def _follow(self, source: Source, limit: float | None) -> None:
-        """Learn from a source until it fails, or for some seconds."""
-        self.suspicion.clear()
-        self._followed_at = time.monotonic()
-        reason = "time to try the others again"
-        try:
-            async with asyncio.timeout(limit):
-                await source.follow()
-        except SourceError as error:
-            reason = str(error)
-        except TimeoutError:
-            pass
-        except Exception as error:
-            # A fault of ours in taking what a source told would end all
-            # learning without a word; the daemon would keep an old generation
-            # for ever. Other sources may tell it in a way that works.
-            reason = f"{type(error).__name__}: {error}"
-            self._node.count("distribution.source_failed")
-        self._node.count("distribution.source_left")
-        if self._failures_by_source.get(source.name) != reason:
-            self._failures_by_source[source.name] = reason
-            self._node.log("source-left", source=source.name, reason=reason)
-
-    def following(self, source: Source) -> None:
-        """Note that a source answered."""
-        if self._failures_by_source.pop(source.name, None) is not None:
-            self._node.log("source-back", source=source.name)
+        await self.learner.stop()
 
     # Serving
 
--- /dev/null
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/learning.py
@@ -0,0 +1,225 @@
+"""Choosing whom to learn from, and leaving a source that is of no use.
+
+Every daemon follows one source at a time: the store, or a parent that derives
+from the list of daemons. When the source fails the next one is tried, and the
+store or any other daemon is taken rather than none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from typing import TYPE_CHECKING
+
+from zinniahook_core import rendezvous
+from zinniahook_core.codes import ZinniahookError
+from zinniahook_core.models import Address
+
+from . import trees
+from .announcements import read_daemons
+from .parents import Parent
+from .settings import Role
+from .sources import Source, SourceError, end
+from .trees import Place
+
+if TYPE_CHECKING:
+    from .distribution import Distribution
+    from .node import Node
+
+__all__ = ["TOLERANCE", "Learner"]
+
+TOLERANCE = 6.0
+"""Seconds that a source may be cut off from the store before others are tried."""
+
+PATIENCE = 2.0
+PATIENCE_LIMIT = 320.0
+"""Least and most seconds that a daemon stays with a source that is cut off, once
+every source was. With the store down none is better, and changing between them
+again and again would be of no use to anyone."""
+
+BACKOFF = 0.2
+BACKOFF_LIMIT = 3.0
+"""Seconds between two rounds over all sources, doubled after each."""
+
+RETURN = 30.0
+"""Seconds after which a daemon that fell back to the store tries its parents."""
+
+RETRY = 5.0
+"""Seconds after which a daemon that should watch the store tries it again. Two
+that learned from each other for longer would hear of no change."""
+
+REVIEW = 30.0
+"""Seconds between looks at whether a daemon should still watch the store. Those
+that start together know of few others and all watch it at first."""
+
+
+class Learner:
+    """Follows sources on behalf of a distribution.
+
+    Parameters
+    ----------
+    node : Node
+        The daemon.
+    distribution : Distribution
+        Where what is learned goes; its ``origin`` is the store.
+
+    Attributes
+    ----------
+    watches : bool
+        Whether this daemon follows the store rather than others.
+    """
+
+    def __init__(self, node: Node, distribution: Distribution) -> None:
+        self.watches = True
+        self._node = node
+        self._distribution = distribution
+        self._alternatives = False
+        self._patience = 0.0
+        self._followed_at = 0.0
+        self._candidates: frozenset[str] = frozenset()
+        self._failures_by_source: dict[str, str] = {}
+        self._task: asyncio.Task | None = None
+
+    @property
+    def reason(self) -> str:
+        """What each source that failed answered last."""
+        return "; ".join(
+            f"{name}: {reason}" for name, reason in self._failures_by_source.items()
+        )
+
+    def start(self) -> None:
+        """Start to learn."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop to learn."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
+    def following(self, source: Source) -> None:
+        """Note that a source answered."""
+        if self._failures_by_source.pop(source.name, None) is not None:
+            self._node.log("source-back", source=source.name)
+
+    def judge(self, age: float) -> None:
+        """Judge the followed source by when it last heard of the store.
+
+        Raises
+        ------
+        SourceError
+            If that is too long ago, and another source may be better.
+        """
+        if age <= TOLERANCE:
+            self._patience = 0.0
+            return
+        followed = time.monotonic() - self._followed_at
+        if self._alternatives and followed > self._patience:
+            raise SourceError("cut off from the store")
+
+    async def _run(self) -> None:
+        pause = BACKOFF
+        while True:
+            sources = await self._sources()
+            self._alternatives = len(sources) > 1
+            for source, limit in sources:
+                await self._follow(source, limit)
+            if self._node.announcement is not None:
+                self._node.announcement.check()
+            if self._distribution.age <= TOLERANCE:
+                pause = BACKOFF
+            else:
+                longer = max(PATIENCE, self._patience * 2)
+                self._patience = min(PATIENCE_LIMIT, longer)
+            # Jitter: all that lost the same parent would come back at once.
+            await asyncio.sleep(pause * random.uniform(0.5, 1.5))
+            pause = min(BACKOFF_LIMIT, pause * 2)
+
+    async def _sources(self) -> list[tuple[Source, float | None]]:
+        """Return what to try in order, each with the seconds to stay with it."""
+        place = await self._place()
+        self.watches = place.watches
+        distribution = self._distribution
+        parents = [Parent(distribution, Address.parse(text)) for text in place.parents]
+        if place.watches:
+            return [(distribution.origin, None), *((one, RETRY) for one in parents)]
+        return [*((one, None) for one in parents), (distribution.origin, RETURN)]
+
+    async def _place(self) -> Place:
+        """Return the place of this daemon among the others."""
+        control = self._node.settings.control
+        own = self._distribution.control
+        if control.watchers:
+            candidates = await self._read_candidates()
+            return trees.place(own, candidates, control.watchers, control.fan_out)
+        if not control.parents:
+            return Place(True, ())
+        others = {str(address) for address in control.parents} - {own}
+        name = self._distribution.name.encode()
+        return Place(False, tuple(rendezvous.rank(name, others)))
+
+    async def _read_candidates(self) -> frozenset[str]:
+        """Return the daemons that serve others, as far as known."""
+        settings = self._node.settings
+        if settings.control.parents:
+            return frozenset(map(str, settings.control.parents))
+        try:
+            daemons = await read_daemons(self._node.store, settings.data_centre)
+        except ZinniahookError:
+            return self._candidates
+        found = {str(one.control) for one in daemons.values()}
+        if settings.role is Role.ENTRY:
+            # It is about to be announced. Without it in the list, it could
+            # choose a parent that in turn chooses it.
+            found.add(self._distribution.control)
+        self._candidates = frozenset(found)
+        return self._candidates
+
+    async def _follow(self, source: Source, limit: float | None) -> None:
+        """Learn from a source until it fails, or for some seconds."""
+        self._distribution.suspicion.clear()
+        self._followed_at = time.monotonic()
+        reason = "time to try the others again"
+        try:
+            async with asyncio.timeout(limit):
+                await self._learn(source, limit)
+        except SourceError as error:
+            reason = str(error)
+        except TimeoutError:
+            pass
+        except Exception as error:
+            # A fault of ours in taking what a source told would end all
+            # learning without a word; the daemon would keep an old generation
+            # for ever. Other sources may tell it in a way that works.
+            reason = f"{type(error).__name__}: {error}"
+            self._node.count("distribution.source_failed")
+        self._node.count("distribution.source_left")
+        if self._failures_by_source.get(source.name) != reason:
+            self._failures_by_source[source.name] = reason
+            self._node.log("source-left", source=source.name, reason=reason)
+
+    async def _learn(self, source: Source, limit: float | None) -> None:
+        """Learn from a source; from the store only while that is due."""
+        if limit is not None or source is not self._distribution.origin:
+            await source.follow()
+            return
+        review = asyncio.ensure_future(self._review())
+        follow = asyncio.ensure_future(source.follow())
+        try:
+            await asyncio.wait((review, follow), return_when=asyncio.FIRST_COMPLETED)
+            if review.done():
+                raise SourceError("enough others watch the store")
+            follow.result()
+        finally:
+            await end({review, follow})
+
+    async def _review(self) -> None:
+        """Return once this daemon should learn from another one."""
+        while True:
+            await asyncio.sleep(REVIEW * random.uniform(0.5, 1.5))
+            if not (await self._place()).watches:
+                return
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/origin.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/origin.py
@@ -24,7 +24,7 @@
 )
 from zinniahook_wire import documents
 
-from .sources import Source, SourceError
+from .sources import Source, SourceError, end
 
 if TYPE_CHECKING:
     from .distribution import Distribution
@@ -37,8 +37,6 @@
 SILENCE_LIMIT = 5.0
 """Seconds that the first read of a watch may take."""
 
-CANCEL_INTERVAL = 0.1
-
 HEARD_INTERVAL = 0.5
 """Seconds between looks at when the watches last heard of the store."""
 
@@ -77,7 +75,7 @@
             await self._store.get(documents.POINTER_KEY)
         except ZinniahookError as error:
             raise SourceError(str(error)) from None
-        self._distribution.following(self)
+        self._distribution.learner.following(self)
         self._distribution.heard(0.0, depth=1)
         watches = [self._store.watch(prefix) for prefix in self._prefixes()]
         readers = [asyncio.create_task(self._read(watch)) for watch in watches]
@@ -85,7 +83,7 @@
         try:
             await self._note_age(watches, readers)
         finally:
-            await _end(readers)
+            await end(set(readers))
 
     def _prefixes(self) -> list[str]:
         """Return what to watch: for an agent little, for an entry all."""
@@ -250,20 +248,6 @@
                 return RosterWritten(operation, failure.code, None)
 
 
-async def _end(tasks: list[asyncio.Task]) -> None:
-    """Cancel tasks until they have ended.
-
-    `asyncio.wait_for` of Python 3.11 drops a cancellation that comes together
-    with its result; a watch would then go on for ever, and a stopping daemon
-    with it.
-    """
-    pending = set(tasks)
-    while pending:
-        for task in pending:
-            task.cancel()
-        _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL)
-
-
 def _roster(service: str, item: Item | None) -> Roster:
     if item is None:
         return Roster(service, 0, {})
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
@@ -174,7 +174,7 @@
             raise SourceError("the parent has learned nothing yet")
         if digest.depth >= DEEPEST:
             raise SourceError(f"too far from the store: {digest.depth} steps")
-        distribution.following(self)
+        distribution.learner.following(self)
         distribution.heard(digest.age, digest.depth + 1)
         # A digest is sent after all that the parent has to tell.
         distribution.caught_up()
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/sources.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/sources.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 
-__all__ = ["Source", "SourceError"]
+__all__ = ["Source", "SourceError", "end"]
+
+CANCEL_INTERVAL = 0.1
+"""Seconds between attempts to cancel a task."""
 
 
 class SourceError(Exception):
@@ -31,3 +35,17 @@
         SourceError
             Why it is of no use now.
         """
+
+
+async def end(tasks: set[asyncio.Task]) -> None:
+    """Cancel tasks until they have ended.
+
+    `asyncio.wait_for` of Python 3.11 drops a cancellation that comes together
+    with its result; a watch would then go on for ever, and a stopping daemon
+    with it.
+    """
+    pending = tasks
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL)
--- a/packages/zinniahook-daemon/tests/test_tree.py
+++ b/packages/zinniahook-daemon/tests/test_tree.py
@@ -8,7 +8,7 @@
 
 import pytest
 from zinniahook_core.models import Address, Service
-from zinniahook_daemon import announcements
+from zinniahook_daemon import announcements, learning
 from zinniahook_daemon.announcements import read_daemons
 from zinniahook_daemon.trees import place
 from zinniahook_store import Store, configurations
@@ -115,7 +115,9 @@
                     lambda: all(node.generation == generation for node in running)
                 )
                 # Those that came first followed the store until others came.
-                gone = next(node for node in running if node.distribution.watches)
+                gone = next(
+                    node for node in running if node.distribution.learner.watches
+                )
                 await gone.stop()
                 running.remove(gone)
                 generation = await commit(store, TALLY._replace(drain=20.0))
@@ -127,6 +129,38 @@
 
         asyncio.run(run())
 
+    def test_those_that_start_together_part(
+        self, nodes, store_process, eventually, monkeypatch
+    ):
+        """Symptom: the store's calls grow with the fleet after a mass restart.
+
+        Sequence: all daemons start at once; none finds another in the list.
+        Cause: each would take itself for one of the few that should watch.
+        """
+        monkeypatch.setattr(learning, "REVIEW", 0.5)
+
+        async def run():
+            store = Store([store_process.address])
+            await commit(store, TALLY)
+            options = {
+                "store": Address.parse(store_process.address),
+                "watchers": WATCHERS,
+                "fan_out": 2,
+            }
+            async with contextlib.AsyncExitStack() as stack:
+                starts = [nodes.start(f"entry-{n}", **options) for n in range(DAEMONS)]
+                running = await asyncio.gather(
+                    *(stack.enter_async_context(start) for start in starts)
+                )
+                await eventually(lambda: all(one.generation == 1 for one in running))
+                await eventually(lambda: store_process.state()["watches"] == WATCHERS)
+                generation = await commit(store, TALLY._replace(drain=10.0))
+                await eventually(
+                    lambda: all(one.generation == generation for one in running)
+                )
+
+        asyncio.run(run())
+
     def test_few_watches_are_open(self, nodes, store_process, eventually):
         async def run():
             store = Store([store_process.address])
