Judge a stage by the daemons in it

Cause: one instance among thousands hardly moves the share of dropped datagrams of all, so that a stage would never have been stopped. Change: the larger of the share of the stage's daemons and of all daemons counts.

--- a/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
@@ -56,6 +56,7 @@
     dropped: int
     requests: int
     unknown: int
+    data_centre: str = ""
 
 
 TrafficByName = dict[str, Traffic]
@@ -78,8 +79,8 @@
     """
     sums = [0, 0, 0, 0]
     for name in before.keys() & now.keys():
-        for place, (old, new) in enumerate(zip(before[name], now[name], strict=True)):
-            sums[place] += max(0, new - old)
+        for place in range(len(sums)):
+            sums[place] += max(0, now[name][place] - before[name][place])
     delta = Traffic(*sums)
     datagrams = delta.forwarded + delta.dropped
     return max(
@@ -103,7 +104,7 @@
         return await configurations.commit(
             session.store, base, document, author, operation, take_over=take_over
         )
-    first, *later = plan
+    first = plan[0]
     before = await read_traffic(session)
     outcome = await configurations.commit(
         session.store, base, document, author, operation, stage=first
@@ -112,7 +113,7 @@
         return outcome
     session.say(f"rollout: {_where(first)}")
     try:
-        return await _widen(session, base, author, outcome, [*later, None], before)
+        return await _widen(session, base, author, outcome, plan, before)
     except ZinniahookError as error:
         # Told as an error alone, a change that is in force in part would look
         # like one that never happened.
@@ -124,13 +125,14 @@
     base: Stored,
     author: str,
     committed: Committed,
-    later: list[Stage | None],
+    plan: list[Stage],
     before: TrafficByName,
 ) -> Outcome | Paused:
     """Go through the stages, or take the change back."""
     generation = committed.generation
+    current, *later = [*plan, None]
     for stage in later:
-        stopped = await _watched(session, base, generation, before)
+        stopped = await _watched(session, base, generation, before, current)
         if stopped is not None:
             return await _take_back(session, base, author, generation, stopped)
         moved = await configurations.move_stage(session.store, generation, stage)
@@ -138,6 +140,7 @@
             reason = getattr(moved, "reason", "the answer of the store was lost")
             return Paused(generation, base.generation, reason)
         session.say(f"rollout: {_where(stage)}")
+        current = stage
     return committed
 
 
@@ -173,7 +176,8 @@
             *(
                 sum(reply.counters_by_name.get(name, 0) for name in names)
                 for names in groups
-            )
+            ),
+            reply.data_centre,
         )
         for reply in fleet.survey.answers_by_control.values()
     }
@@ -210,13 +214,21 @@
 
 
 async def _watched(
-    session: Session, base: Stored, generation: int, before: TrafficByName
+    session: Session,
+    base: Stored,
+    generation: int,
+    before: TrafficByName,
+    stage: Stage,
 ) -> str | None:
     """Watch one stage; return why it must stop, or None."""
     rollout = base.document.rollout
     deadline = time.monotonic() + rollout.pause
     while True:
-        share = broken_share(before, await read_traffic(session))
+        now = await read_traffic(session)
+        # One instance among thousands hardly moves the share of all of them.
+        share = max(
+            broken_share(before, now), broken_share(before, _within(stage, now))
+        )
         if share > rollout.broken_flows:
             return (
                 f"{share:.2%} of datagrams or requests failed since generation "
@@ -228,6 +240,14 @@
         await asyncio.sleep(min(WATCH_EVERY, left))
 
 
+def _within(stage: Stage, traffic_by_name: TrafficByName) -> TrafficByName:
+    return {
+        name: traffic
+        for name, traffic in traffic_by_name.items()
+        if name in stage.instances or traffic.data_centre in stage.data_centres
+    }
+
+
 async def _take_back(
     session: Session, base: Stored, author: str, generation: int, reason: str
 ) -> Outcome | Paused:
