--- a/packages/zinniahook-core/src/zinniahook_core/liveness.py
+++ b/packages/zinniahook-core/src/zinniahook_core/liveness.py
@@ -15,12 +15,12 @@
 from dataclasses import dataclass
 
 from . import rendezvous
+from .heartbeats import HEARTBEAT_INTERVAL
 from .messages import Heartbeat
 from .models import AgentState, Load, Member, Roster
 
-__all__ = ["HEARTBEAT_INTERVAL", "MARK_DOWN_AFTER", "Liveness"]
+__all__ = ["MARK_DOWN_AFTER", "Liveness"]
 
-HEARTBEAT_INTERVAL = 1.0
 SILENT_AFTER = 2.5
 MARK_DOWN_AFTER = 5.0
 LONGEST_SILENCE = 20.0
--- a/packages/zinniahook-core/src/zinniahook_core/membership.py
+++ b/packages/zinniahook-core/src/zinniahook_core/membership.py
@@ -15,7 +15,8 @@
 from .codes import Code
 from .effects import AgentEffect, Count, Drained, Log, ReadRoster, Restart, SendPeer
 from .events import RosterWritten, TargetReported
-from .liveness import HEARTBEAT_INTERVAL, MARK_DOWN_AFTER, Liveness
+from .heartbeats import HEARTBEAT_INTERVAL, HeartbeatSchedule
+from .liveness import MARK_DOWN_AFTER, Liveness
 from .messages import Heartbeat
 from .models import AgentState, Load, Member, Roster
 from .rosters import BACKOFF_LONGEST, RosterWriter, Settlement
@@ -30,8 +31,6 @@
 TARGET_GRACE = 10.0
 LINGER = 3.0
 REMOVAL_GRACE = 1.0
-URGENT_BEATS = 5
-URGENT_INTERVAL = 0.2
 READ_INTERVAL = 5.0
 DOWN_RETENTION = 300.0
 MEMBERS_LIMIT = 256
@@ -77,9 +76,7 @@
         self._highest = 0
         self._roster_full = False
         self._read_at = 0.0
-        self._sequence = 0
-        self._beat_at = 0.0
-        self._urgent_beats = 0
+        self._heartbeats = HeartbeatSchedule(rng)
         self._leave_since: float | None = None
         self._leave_deadline = 0.0
         self._departing = False
@@ -227,9 +224,7 @@
         self._leave_since = now
         self._leave_deadline = deadline
         self.identity = self.identity._replace(state=AgentState.LEAVING)
-        # Several at once: the loss of one must not keep new work coming.
-        self._urgent_beats = URGENT_BEATS
-        self._beat_at = now
+        self._heartbeats.hurry(now)
         log = self._log("agent-leaving", ("seconds", seconds))
         return [log, *self._beat(now), *self._reconcile(now)]
 
@@ -251,7 +246,7 @@
     def _restart(self, now: float, cause: str, incarnation: int) -> list[AgentEffect]:
         self.identity = self.identity._replace(incarnation=incarnation)
         self._confirmed = False
-        self._sequence = 0
+        self._heartbeats.restart()
         self._writer.abandon(now)
         self._liveness.forgive(now)
         return [
@@ -381,15 +376,12 @@
         return [self._log("agent-drained"), Drained(AgentState.LEAVING)]
 
     def _beat(self, now: float) -> list[AgentEffect]:
-        if now < self._beat_at:
+        sequence = self._heartbeats.due(now)
+        if sequence is None:
             return []
-        self._urgent_beats = max(0, self._urgent_beats - 1)
-        interval = URGENT_INTERVAL if self._urgent_beats else HEARTBEAT_INTERVAL
-        self._beat_at = now + interval * (0.8 + 0.4 * self._rng.random())
-        self._sequence += 1
         heartbeat = Heartbeat(
             self.incarnation,
-            self._sequence,
+            sequence,
             self.generation,
             self._load(now),
             self.leaving,
