Keep the digest of the rosters between changes

Each subscriber's digest sorted thousands of revisions once a second. It is computed once a change now.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
@@ -83,6 +83,9 @@
         self._in_force_at = 0.0
         self._suspected_at = -float("inf")
         self._values_by_service: dict[str, bytes] = {}
+        # Each subscriber asks once a second, and thousands of revisions take
+        # milliseconds.
+        self._digests_by_services: dict[frozenset[str] | None, bytes] = {}
         self._subscriptions: set[Subscription] = set()
 
     # What is known
@@ -130,13 +133,17 @@
 
     def rosters_digest(self, services: frozenset[str] | None) -> bytes:
         """Return the digest of the revisions of these services' rosters."""
-        return documents.revisions_digest(
-            {
-                name: roster.revision
-                for name, roster in self.rosters_by_service.items()
-                if services is None or name in services
-            }
-        )
+        found = self._digests_by_services.get(services)
+        if found is None:
+            found = documents.revisions_digest(
+                {
+                    name: roster.revision
+                    for name, roster in self.rosters_by_service.items()
+                    if services is None or name in services
+                }
+            )
+            self._digests_by_services[services] = found
+        return found
 
     # What sources tell
 
@@ -201,6 +208,7 @@
             self._values_by_service[service] = zlib.compress(value)
             roster = _routable(roster)
         self.rosters_by_service[service] = roster
+        self._digests_by_services.clear()
         self._node.roster_changed(roster)
         for subscription in self._subscriptions:
             subscription.roster_changed(service)
