--- a/packages/zinniahook-core/src/zinniahook_core/__init__.py
+++ b/packages/zinniahook-core/src/zinniahook_core/__init__.py
@@ -6,6 +6,7 @@
 
 from .agents import AgentCore
 from .codes import Code, Failure, Outcome, OutcomeKind, ZinniahookError
+from .entries import EntryCore
 from .models import (
     Address,
     AgentState,
@@ -25,6 +26,7 @@
     "AgentState",
     "Code",
     "Configuration",
+    "EntryCore",
     "Failure",
     "Key",
     "Load",
