Part the requests of an agent from its life

agents.py held two subjects. A task that was cancelled before its first step ran none of its own code, so its request was never forgotten; its end is now learned from outside the task, and a test starts and cancels one in the same turn.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
@@ -24,9 +24,6 @@
     ConfigurationChanged,
     DrainRequested,
     FlowClosed,
-    RequestArrived,
-    RequestCancelled,
-    RequestFinished,
     RosterChanged,
     TargetReported,
     Tick,
@@ -40,9 +37,8 @@
     Service,
 )
 
-from .exchanges import Exchange, classify, decode_answer
-from .relays import Relays, serve_relay
-from .targets import FAILED, Result, Target
+from .relays import serve_relay
+from .runs import Runs
 from .traffic import Traffic
 
 __all__ = ["Agent", "serve"]
@@ -125,12 +121,8 @@
             slots=settings.slots,
         )
         self.core = AgentCore(self.identity, settings.service, self.rng)
-        self.target = Target(settings.target)
-        self.relays = Relays(node.certificates.client, self.name, settings.service)
+        self.runs = Runs(self)
         self.traffic = Traffic(self)
-        self._exchanges_by_number: dict[int, Exchange] = {}
-        self._tasks_by_number: dict[int, asyncio.Task[None]] = {}
-        self._joined_by_number: dict[int, list[Exchange]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._events: deque[AgentEvent] = deque()
         self._feeding = False
@@ -191,16 +183,15 @@
     async def close(self) -> None:
         """End what is left."""
         self.traffic.close()
-        for task in list(self._tasks_by_number.values()):
-            task.cancel()
+        self.runs.cancel_all()
         await asyncio.sleep(CLOSING)
-        self.relays.close()
+        self.runs.relays.close()
 
     def _execute(self, effect: AgentEffect) -> None:
         handler = _HANDLERS_BY_EFFECT.get(type(effect))
         if handler is not None:
             handler(self, effect)
-        else:
+        elif not self.runs.execute(effect):
             self.traffic.execute(effect)
 
     def _tick(self) -> None:
@@ -223,7 +214,7 @@
             return
         self.feed(RosterChanged(roster))
         self.roster = self.core.roster
-        self.relays.keep(
+        self.runs.relays.keep(
             {
                 member.control
                 for member in self.roster.by_name.values()
@@ -236,10 +227,10 @@
             # A plain UDP target has no endpoint that could be asked.
             self.feed(TargetReported(not self.traffic.flows.refused, None, True))
             return
-        self.feed(await self.target.probe())
+        self.feed(await self.runs.target.probe())
 
     async def _serve_relay(self, stream: Any) -> None:
-        await serve_relay(stream, self.arrived, self.cancelled)
+        await serve_relay(stream, self.runs.arrived, self.runs.cancelled)
 
     def _status(self) -> dict[str, Any]:
         load = self.core.load(self.node.now())
@@ -254,167 +245,6 @@
             "streams": load.streams,
         }
 
-    # Requests
-
-    def classify(self, path: str) -> str:
-        """Return the request class of a path, or empty."""
-        return classify(self.service, path)
-
-    def arrived(self, exchange: Exchange) -> None:
-        """Take a new request."""
-        self._exchanges_by_number[exchange.number] = exchange
-        self.node.count("agent.requests")
-        self.feed(
-            RequestArrived(
-                exchange.number,
-                exchange.kind,
-                exchange.idempotent,
-                exchange.key,
-                exchange.attempt,
-                exchange.deadline or 0.0,
-                exchange.relayed_by,
-            )
-        )
-
-    def cancelled(self, exchange: Exchange) -> None:
-        """Learn that the caller does not want an answer any more."""
-        if exchange.number not in self._exchanges_by_number:
-            return
-        self.node.count("agent.cancelled")
-        self.feed(RequestCancelled(exchange.number))
-        if exchange.number not in self._tasks_by_number:
-            self._forget(exchange)
-
-    def refused(self, code: Code) -> None:
-        """Count a request that was refused for its form."""
-        self.node.count("agent.refused", code=code.name)
-
-    def _start(self, exchange: Exchange, work: Coroutine[Any, Any, Result]) -> None:
-        task = asyncio.ensure_future(self._supervise(exchange, work))
-        self._tasks_by_number[exchange.number] = task
-
-    async def _supervise(
-        self, exchange: Exchange, work: Coroutine[Any, Any, Result]
-    ) -> None:
-        try:
-            result = await work
-        except asyncio.CancelledError:
-            result = _cancelled(exchange)
-        except Exception:
-            # A fault here must not leave a request without an end: its slot
-            # would never be free again.
-            _logger.exception("request failed")
-            self.node.count("agent.faults")
-            exchange.fail()
-            result = FAILED
-        if self._tasks_by_number.get(exchange.number) is asyncio.current_task():
-            del self._tasks_by_number[exchange.number]
-        self._ended(exchange, result)
-
-    def _ended(self, exchange: Exchange, result: Result) -> None:
-        if exchange.number not in self._exchanges_by_number:
-            return
-        done = result.outcome.kind is OutcomeKind.DONE
-        answer = exchange.kept if done else b""
-        if not done:
-            self.node.count("agent.failed", code=result.outcome.code.name)
-        else:
-            self._record(exchange)
-            self._answer_joined(exchange, answer)
-            self._forget(exchange)
-        self.feed(
-            RequestFinished(exchange.number, result.outcome, result.started, answer)
-        )
-        # The core has nothing more to say to a caller that is gone.
-        if exchange.finished and exchange.number not in self._tasks_by_number:
-            self._forget(exchange)
-
-    def _answer_joined(self, exchange: Exchange, answer: bytes) -> None:
-        for joined in self._joined_by_number.pop(exchange.number, ()):
-            self._reply(joined, answer)
-
-    def _reply(self, exchange: Exchange, answer: bytes) -> None:
-        """Answer with a kept answer, if there is one."""
-        if answer:
-            exchange.replay(decode_answer(answer))
-        else:
-            exchange.refuse(Outcome(OutcomeKind.UNKNOWN, Code.ANSWER_LOST))
-        self._forget(exchange)
-
-    def _record(self, exchange: Exchange) -> None:
-        seconds = self.node.now() - exchange.arrived_at
-        kind = exchange.kind or "default"
-        self.node.histogram(self.service.name, kind).record(seconds)
-        self.node.count("agent.finished")
-
-    def _forget(self, exchange: Exchange) -> None:
-        self._exchanges_by_number.pop(exchange.number, None)
-        self._joined_by_number.pop(exchange.number, None)
-
-    @_executes(todo.Run)
-    def _run(self, effect: todo.Run) -> None:
-        exchange = self._startable(effect.request)
-        if exchange is not None:
-            self._start(exchange, self.target.run(exchange))
-
-    @_executes(todo.Relay)
-    def _relay(self, effect: todo.Relay) -> None:
-        exchange = self._startable(effect.request)
-        if exchange is None:
-            return
-        peer = self.core.roster.by_name.get(effect.peer)
-        if peer is None:
-            outcome = Outcome(OutcomeKind.NOT_RUN, Code.NO_AGENT, 1.0)
-            self.feed(RequestFinished(exchange.number, outcome, False))
-            return
-        self.node.count("agent.relayed")
-        self._start(exchange, self.relays.run(exchange, peer.control))
-
-    def _startable(self, request: int) -> Exchange | None:
-        """Return a request that an attempt can still answer whole.
-
-        For any other the core is told at once; it would hold a slot for good.
-        """
-        exchange = self._exchanges_by_number.get(request)
-        if exchange is None:
-            outcome = Outcome(OutcomeKind.CANCELLED_BEFORE, Code.CANCELLED_BEFORE)
-            self.feed(RequestFinished(request, outcome, False))
-            return None
-        if exchange.status or exchange.body.taken:
-            outcome = Outcome(OutcomeKind.UNKNOWN, Code.ANSWER_LOST)
-            self.feed(RequestFinished(request, outcome, True))
-            return None
-        exchange.started = False
-        return exchange
-
-    @_executes(todo.JoinRequest)
-    def _join(self, effect: todo.JoinRequest) -> None:
-        exchange = self._exchanges_by_number.get(effect.request)
-        if exchange is not None:
-            self._joined_by_number.setdefault(effect.running, []).append(exchange)
-
-    @_executes(todo.Replay)
-    def _replay(self, effect: todo.Replay) -> None:
-        exchange = self._exchanges_by_number.get(effect.request)
-        if exchange is not None:
-            self._reply(exchange, effect.answer)
-
-    @_executes(todo.FinishRequest)
-    def _finish(self, effect: todo.FinishRequest) -> None:
-        exchange = self._exchanges_by_number.get(effect.request)
-        if exchange is None:
-            return
-        self.node.count("agent.outcome", kind=effect.outcome.kind.value)
-        self.node.count("agent.refused", code=effect.outcome.code.name)
-        exchange.refuse(effect.outcome)
-        self._forget(exchange)
-
-    @_executes(todo.CancelRequest)
-    def _cancel(self, effect: todo.CancelRequest) -> None:
-        task = self._tasks_by_number.get(effect.request)
-        if task is not None:
-            task.cancel()
-
     # The life of the agent
 
     @_executes(todo.Restart)
@@ -422,9 +252,7 @@
         # Peers may have taken over what this agent owned while it was paused.
         # Nothing from before may reach the core: exchanges are forgotten
         # first, so that the ends of their tasks and connections are not news.
-        exchanges = list(self._exchanges_by_number.values())
-        self._exchanges_by_number.clear()
-        self._joined_by_number.clear()
+        exchanges = self.runs.forget_all()
         self._events.clear()
         self.traffic.restart()
         for exchange in exchanges:
@@ -466,12 +294,3 @@
     def closed(self, flow: bytes) -> None:
         """Learn that a flow has ended."""
         self.feed(FlowClosed(flow))
-
-
-def _cancelled(exchange: Exchange) -> Result:
-    exchange.fail()
-    if exchange.started:
-        outcome = Outcome(OutcomeKind.CANCELLED_AFTER, Code.CANCELLED_AFTER)
-    else:
-        outcome = Outcome(OutcomeKind.CANCELLED_BEFORE, Code.CANCELLED_BEFORE)
-    return Result(outcome, exchange.started)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
@@ -151,7 +151,7 @@
             self._to_caller(caller, other, payload)
 
     def _begin(self, connection: ServerConnection) -> Http3Session:
-        return Http3Session(connection, self.agent, self.connections.touch)
+        return Http3Session(connection, self.agent.runs, self.connections.touch)
 
     def _switch(self, connection: ServerConnection) -> None:
         """Answer by way of another entry: this one's answers get lost."""
--- /dev/null
+++ b/packages/zinniahook-daemon/tests/test_runs.py
@@ -0,0 +1,296 @@
+"""What a daemon does with the core's decisions on requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from types import SimpleNamespace
+
+import pytest
+from zinniahook_core import effects as todo
+from zinniahook_core.codes import Code, Outcome, OutcomeKind
+from zinniahook_core.events import RequestArrived, RequestCancelled, RequestFinished
+from zinniahook_core.models import Address, RequestClass, Roster, Service
+from zinniahook_daemon.exchanges import Answer, Exchange, Head, encode_answer
+from zinniahook_daemon.runs import Runs
+from zinniahook_daemon.targets import DONE, FAILED
+
+NOWHERE = Address("127.0.0.1", 1)
+PATIENCE = 10.0
+
+
+class Caller(Exchange):
+    """A caller's side that notes what it is told."""
+
+    def __init__(self, method: str = "POST", key: bytes = b"k") -> None:
+        head = Head(method, "/tickets/1", ((b"idempotency-key", key),))
+        super().__init__(head, "ticket", asyncio.get_running_loop().time())
+        self.sent = b""
+        self.ends: list[str] = []
+        self.body.feed(b"", end=True)
+
+    def send_head(self, status, headers) -> None:
+        self.sent += b"%d " % status
+
+    def send_piece(self, data: bytes) -> None:
+        self.sent += data
+
+    def send_end(self) -> None:
+        self.ends.append("end")
+
+    def send_reset(self) -> None:
+        self.ends.append("reset")
+
+    def body_taken(self, size: int) -> None:
+        pass
+
+
+class Work:
+    """Stands in for the target: a request runs until the test ends it."""
+
+    def __init__(self) -> None:
+        self.started: asyncio.Queue[Exchange] = asyncio.Queue()
+        self.results: asyncio.Queue = asyncio.Queue()
+
+    async def run(self, exchange: Exchange):
+        exchange.started = True
+        self.started.put_nowait(exchange)
+        result = await self.results.get()
+        if isinstance(result, Exception):
+            raise result
+        if result is DONE:
+            exchange.begin(201, ((b"a", b"b"),))
+            exchange.write(b"filed")
+            exchange.finish()
+        return result
+
+
+class Bench:
+    """Runs, with a core that only notes its events."""
+
+    def __init__(self) -> None:
+        self.events: asyncio.Queue = asyncio.Queue()
+        self.counts: Counter[str] = Counter()
+        node = SimpleNamespace(
+            settings=SimpleNamespace(
+                agent=SimpleNamespace(target=NOWHERE, service="tally")
+            ),
+            certificates=SimpleNamespace(client=None),
+            now=asyncio.get_running_loop().time,
+            count=lambda name, amount=1, **tags: self.counts.update({name: amount}),
+            histogram=lambda service, kind: SimpleNamespace(record=lambda _: None),
+        )
+        classes = {"ticket": RequestClass("ticket", "/tickets")}
+        agent = SimpleNamespace(
+            node=node,
+            name="tally-0",
+            feed=self.events.put_nowait,
+            core=SimpleNamespace(roster=Roster("tally", 1, {})),
+            service=Service("tally", 1, NOWHERE, classes_by_name=classes),
+        )
+        self.agent = agent
+        self.work = Work()
+        self.runs = Runs(agent)
+        self.runs.target = self.work
+
+    async def event(self) -> object:
+        return await asyncio.wait_for(self.events.get(), PATIENCE)
+
+    async def arrive(self, caller: Caller) -> Caller:
+        self.runs.arrived(caller)
+        assert isinstance(await self.event(), RequestArrived)
+        return caller
+
+    async def running(self) -> Caller:
+        caller = await self.arrive(Caller())
+        self.runs.execute(todo.Run(caller.number))
+        await asyncio.wait_for(self.work.started.get(), PATIENCE)
+        return caller
+
+
+def run(scenario) -> None:
+    async def main() -> None:
+        bench = Bench()
+        await scenario(bench)
+        assert len(bench.runs) == 0, "a request was not forgotten"
+
+    asyncio.run(main())
+
+
+class TestRun:
+    def test_whole(self):
+        async def scenario(bench: Bench) -> None:
+            caller = await bench.running()
+            bench.work.results.put_nowait(DONE)
+            event = await bench.event()
+            answer = encode_answer(Answer(201, ((b"a", b"b"),), b"filed"))
+            assert event == RequestFinished(caller.number, *DONE, answer)
+            assert (caller.sent, caller.ends) == (b"201 filed", ["end"])
+
+        run(scenario)
+
+    def test_a_fault_is_an_end(self):
+        async def scenario(bench: Bench) -> None:
+            caller = await bench.running()
+            bench.work.results.put_nowait(ValueError("broken"))
+            assert await bench.event() == RequestFinished(caller.number, *FAILED)
+            assert bench.counts["agent.faults"] == 1
+
+        run(scenario)
+
+    def test_of_a_request_that_is_gone(self):
+        """The core starts a request whose caller has just gone.
+
+        Symptom: a slot is never free again. Sequence: the caller leaves while
+        its request waits, the core's next decision runs it.
+        Cause: nothing would ever tell the core that it has ended.
+        """
+
+        async def scenario(bench: Bench) -> None:
+            bench.runs.execute(todo.Run(4711))
+            event = await bench.event()
+            assert event.request == 4711
+            assert not event.started
+
+        run(scenario)
+
+    def test_again_after_half_an_answer(self):
+        async def scenario(bench: Bench) -> None:
+            caller = await bench.arrive(Caller("GET"))
+            caller.begin(200, ())
+            bench.runs.execute(todo.Run(caller.number))
+            event = await bench.event()
+            assert event.outcome.code is Code.ANSWER_LOST
+            outcome = Outcome(OutcomeKind.UNKNOWN, Code.ANSWER_LOST)
+            bench.runs.execute(todo.FinishRequest(caller.number, outcome))
+            assert caller.ends == ["reset"]
+
+        run(scenario)
+
+    def test_relay_to_a_peer_that_left(self):
+        async def scenario(bench: Bench) -> None:
+            caller = await bench.arrive(Caller())
+            bench.runs.execute(todo.Relay(caller.number, "tally-9"))
+            event = await bench.event()
+            assert event.outcome.code is Code.NO_AGENT
+            assert not event.started
+            bench.runs.execute(todo.FinishRequest(caller.number, event.outcome))
+            assert caller.sent.startswith(b"503 ")
+
+        run(scenario)
+
+
+class TestCancel:
+    @pytest.mark.parametrize("early", [True, False])
+    def test_reaches_the_run(self, early):
+        """A caller gives up, perhaps in the very turn that starts its request.
+
+        Symptom: a request is held for good. Sequence: Run and CancelRequest
+        in one turn of the loop. Cause: a task that is cancelled before its
+        first step runs none of its own code.
+        """
+
+        async def scenario(bench: Bench) -> None:
+            if early:
+                caller = await bench.arrive(Caller())
+                bench.runs.execute(todo.Run(caller.number))
+            else:
+                caller = await bench.running()
+            caller.finished = True
+            bench.runs.cancelled(caller)
+            assert bench.events.get_nowait() == RequestCancelled(caller.number)
+            bench.runs.execute(todo.CancelRequest(caller.number))
+            event = await bench.event()
+            before, after = OutcomeKind.CANCELLED_BEFORE, OutcomeKind.CANCELLED_AFTER
+            assert event.outcome.kind is (before if early else after)
+            assert event.started is not early
+
+        run(scenario)
+
+    def test_one_that_waits(self):
+        async def scenario(bench: Bench) -> None:
+            caller = await bench.arrive(Caller())
+            bench.runs.cancelled(caller)
+            assert await bench.event() == RequestCancelled(caller.number)
+
+        run(scenario)
+
+
+class TestSecondCopy:
+    def test_gets_the_whole_answer(self):
+        async def scenario(bench: Bench) -> None:
+            first = await bench.running()
+            second = await bench.arrive(Caller())
+            bench.runs.execute(todo.JoinRequest(second.number, first.number))
+            bench.work.results.put_nowait(DONE)
+            await bench.event()
+            assert (second.sent, second.ends) == (b"201 filed", ["end"])
+
+        run(scenario)
+
+    def test_gets_it_though_the_first_caller_is_gone(self):
+        async def scenario(bench: Bench) -> None:
+            first = await bench.running()
+            first.finished = True
+            bench.runs.cancelled(first)
+            await bench.event()
+            second = await bench.arrive(Caller())
+            bench.runs.execute(todo.JoinRequest(second.number, first.number))
+            bench.work.results.put_nowait(DONE)
+            await bench.event()
+            assert first.sent == b""
+            assert second.sent == b"201 filed"
+
+        run(scenario)
+
+    def test_of_an_answer_too_large_to_keep(self):
+        async def scenario(bench: Bench) -> None:
+            first = await bench.running()
+            first._kept = None
+            second = await bench.arrive(Caller())
+            bench.runs.execute(todo.JoinRequest(second.number, first.number))
+            bench.work.results.put_nowait(DONE)
+            await bench.event()
+            assert second.sent.startswith(b"502 ")
+
+        run(scenario)
+
+    def test_of_a_finished_one(self):
+        async def scenario(bench: Bench) -> None:
+            caller = await bench.arrive(Caller())
+            answer = encode_answer(Answer(200, (), b"kept"))
+            bench.runs.execute(todo.Replay(caller.number, answer))
+            assert (caller.sent, caller.ends) == (b"200 kept", ["end"])
+
+        run(scenario)
+
+
+class TestForgetAll:
+    def test_what_ends_later_is_no_news(self):
+        """A fenced agent's old work ends after it was forgotten.
+
+        Symptom: the core hears of requests of its former incarnation.
+        Sequence: a request runs, the agent fences itself, the target answers.
+        Cause: work under a claim goes on at the target.
+        """
+
+        async def scenario(bench: Bench) -> None:
+            caller = await bench.running()
+            assert bench.runs.forget_all() == [caller]
+            bench.work.results.put_nowait(DONE)
+            next_one = await bench.running()
+            bench.work.results.put_nowait(DONE)
+            event = await bench.event()
+            assert event.request == next_one.number
+
+        run(scenario)
+
+
+class TestClassify:
+    def test_by_the_service_in_force(self):
+        async def scenario(bench: Bench) -> None:
+            assert bench.runs.classify("/tickets/7") == "ticket"
+            bench.agent.service = Service("tally", 1, NOWHERE)
+            assert bench.runs.classify("/tickets/7") == ""
+
+        run(scenario)
