--- a/packages/zinniahook-core/tests/core_fakes.py
+++ b/packages/zinniahook-core/tests/core_fakes.py
@@ -291,6 +291,7 @@
         self.conclude(effect.request, effect.outcome.kind)
 
     def on_restart(self, effect):
+        self.cluster.restarts += 1
         self.inbox.clear()
         self.drop_connections()
 
--- a/packages/zinniahook-core/tests/test_agents.py
+++ b/packages/zinniahook-core/tests/test_agents.py
@@ -4,7 +4,7 @@
 
 import pytest
 from core_clusters import Cluster
-from core_fakes import configuration
+from core_fakes import KEYLESS, configuration
 from zinniahook_core import AgentCore, effects, events
 from zinniahook_core.codes import Code, OutcomeKind
 from zinniahook_core.models import Address, AgentState, Member
@@ -180,6 +180,31 @@
         assert cluster.broken() == []
 
 
+class TestLeaving:
+    def test_request_that_a_peer_refuses_is_not_run_here(self):
+        """Symptom: a leaving target gets new work long after its drain began.
+
+        Sequence: a request on an old connection is relayed to a peer, which
+        refuses it; the leaving agent tries again on its own.
+        Cause: the second try looked only at free slots.
+        """
+        cluster = Cluster(8, {"tally": 2})
+        leaving, staying = cluster.live("tally")
+        while len(cluster.connections) < 20:
+            cluster.connect("tally")
+            cluster.run(0.1)
+        staying.target = "refuses"
+        cluster.drain(leaving)
+        cluster.run(4.0)
+        for connection in cluster.connections:
+            if connection[1] == leaving.name:
+                name = b"%d" % len(cluster.told) + KEYLESS
+                cluster.request(connection, name, 1)
+                cluster.run(2.0)
+        assert cluster.broken() == []
+        assert {told.kind for told in cluster.told} == {OutcomeKind.NOT_RUN}
+
+
 class TestTombstones:
     def test_late_copy_does_not_run_when_ownership_has_moved(self):
         """Symptom: a ticket runs after its caller was told that it doesn't.
