--- a/packages/zinniahook-cli/src/zinniahook_cli/sessions.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/sessions.py
@@ -156,11 +156,12 @@
             now = await configurations.read(self.store)
         except ZinniahookError:
             return answer
-        if now.manifest is not None:
-            text = (
-                f"{answer.text}; generation {now.generation} of "
-                f"{now.manifest.author} changed:"
-            )
+        if now.manifest is None:
+            return answer
+        text = (
+            f"{answer.text}; generation {now.generation} of "
+            f"{now.manifest.author} changed:"
+        )
         table = _diff_table(base.document, now.document)
         facts = {**answer.facts, "generation": now.generation}
         return Answer(text, table, facts, answer.status)
