--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,265 @@
+"""What fails, with real processes: crashes, pauses, outages, restarts."""
+
+import asyncio
+import contextlib
+import json
+
+from zinniahook_caller import Backoff, OutcomeError, Session
+from zinniahook_core.models import AgentState
+from zinniahook_testkit.stores import StoreProcess
+from zinniahook_wire import documents
+
+QUICK = Backoff(0.02, 0.2)
+PATIENT = 25.0
+OUTAGE_DEADLINE = 6.0
+
+
+def session(cluster, **kwargs):
+    address = cluster.addresses_by_service["tally"]
+    return Session(address, ca=str(cluster.authority.file), backoff=QUICK, **kwargs)
+
+
+@contextlib.asynccontextmanager
+async def sessions(cluster, count):
+    callers = [session(cluster) for _ in range(count)]
+    try:
+        yield callers
+    finally:
+        for caller in callers:
+            await caller.close()
+
+
+async def file(caller, ticket, deadline=PATIENT):
+    """File a ticket; return it and what the caller was told."""
+    try:
+        answer = await caller.post(
+            "/tickets", json={"ticket": ticket}, key=ticket, deadline=deadline
+        )
+    except OutcomeError as error:
+        return ticket, error.outcome.value
+    assert answer.status == 200
+    assert answer.json()["ticket"] == ticket
+    return ticket, "done"
+
+
+async def hold_to_true(cluster, outcomes):
+    """Compare what callers were told with what the targets ran."""
+    ledgers = await cluster.ledgers()
+    for ticket, outcome in outcomes:
+        runs = sum(ledger["runs_by_ticket"].get(ticket, 0) for ledger in ledgers)
+        assert runs <= 1, (ticket, outcome)
+        if outcome == "done":
+            assert runs == 1, ticket
+        if outcome in ("not-run", "cancelled-before"):
+            assert runs == 0, ticket
+
+
+async def member(cluster, name):
+    """Return a member of the tally service's roster, None if it isn't in it."""
+    item = await cluster.store.get(documents.roster_key("tally"))
+    roster = documents.roster_from_json("tally", item.revision, item.value)
+    return roster.by_name.get(name)
+
+
+async def started(cluster, name):
+    ledger = await cluster.ledger(name)
+    return ledger["counts"].get("started_tickets", 0)
+
+
+async def slow_down(cluster, seconds):
+    for name in cluster.targets_by_name:
+        await cluster.control_target(name, service_time=seconds)
+
+
+class TestKilledAgent:
+    def test_a_successor_runs_no_ticket_again(self, fresh):
+        """
+        Symptom: a ticket that was in progress bills a haulier twice.
+        Sequence: the agent that runs tickets is killed and started again at
+        once; the callers go on with the same keys and reach the new one.
+        Cause: it knows nothing of its predecessor's claims and takes the
+        tickets for new ones.
+        """
+
+        async def check(cluster):
+            await slow_down(cluster, 1.0)
+            async with sessions(cluster, 8) as callers:
+                filing = [
+                    asyncio.create_task(file(caller, f"killed-{number}-{copy}"))
+                    for number, caller in enumerate(callers)
+                    for copy in range(2)
+                ]
+
+                async def busy():
+                    return await started(cluster, "tally-1") >= 2
+
+                await cluster.until(busy, "tickets in progress")
+                await asyncio.to_thread(cluster.agents_by_name.pop("tally-1").kill)
+                await cluster.start_agent("tally-1")
+                outcomes = await asyncio.gather(*filing)
+            await hold_to_true(cluster, outcomes)
+            assert "done" in {outcome for _, outcome in outcomes}
+
+        fresh.run(check(fresh.cluster))
+
+
+class TestPausedAgent:
+    def test_what_was_queued_is_not_run_past_the_fence(self, fresh):
+        """
+        Symptom: a ticket runs at a target long after its caller was told
+        otherwise, or after another target ran it.
+        Sequence: an agent with a full queue is paused; its peers mark it
+        down and take its place; callers go on elsewhere; it is resumed.
+        Cause: it goes on with its queue by an authority that it lost.
+        """
+
+        async def check(cluster):
+            await slow_down(cluster, 1.5)
+            agent = cluster.agents_by_name["tally-1"]
+            before = await member(cluster, "tally-1")
+            async with sessions(cluster, 8) as callers:
+                filing = [
+                    asyncio.create_task(file(caller, f"paused-{number}-{copy}"))
+                    for number, caller in enumerate(callers)
+                    for copy in range(4)
+                ]
+
+                async def queued():
+                    running = await started(cluster, "tally-1") > 0
+                    return running and (await cluster.status(agent)).queued > 0
+
+                await cluster.until(queued, "requests queued at the agent")
+                agent.pause()
+                try:
+
+                    async def down():
+                        now = await member(cluster, "tally-1")
+                        return now is None or now.state is not AgentState.READY
+
+                    await cluster.until(down, "the paused agent is marked down")
+                    await slow_down(cluster, 0.05)
+                finally:
+                    agent.resume()
+
+                async def back():
+                    now = await member(cluster, "tally-1")
+                    return (
+                        now is not None
+                        and now.state is AgentState.READY
+                        and now.incarnation > before.incarnation
+                    )
+
+                await cluster.until(back, "the agent is back under a new incarnation")
+                outcomes = await asyncio.gather(*filing)
+                await hold_to_true(cluster, outcomes)
+                late = [file(caller, f"late-{n}") for n, caller in enumerate(callers)]
+                after = await asyncio.gather(*late)
+            assert {outcome for _, outcome in after} == {"done"}
+
+        fresh.run(check(fresh.cluster))
+
+
+class TestStoreOutage:
+    def test_an_agent_restarts_while_the_store_is_down(self, fresh):
+        """
+        Symptom: an outage of the store cuts feeds, doubles tickets, or leaves
+        a restarted agent out for good.
+        Sequence: the store goes down; an agent is killed and started again;
+        callers file tickets and read a feed; the store comes back.
+        Cause: serving waited for the store, the claims of the killed agent
+        were taken over without a proof, or the start was given up.
+        """
+
+        async def check(cluster):
+            store = StoreProcess(cluster.store_process)
+            async with sessions(cluster, 6) as callers, session(cluster) as reader:
+                async with reader.stream("GET", "/tally/feed?every=0.05") as feed:
+                    lines = feed.iter_lines()
+                    target = json.loads(await anext(lines))["target"]
+                    used = {target, await owner(cluster)}
+                    gone = min({"tally-1", "tally-2", "tally-3"} - used)
+                    await asyncio.to_thread(store.set_faults, outage="refuse")
+                    process = cluster.agents_by_name.pop(gone)
+                    await asyncio.to_thread(process.kill)
+                    starting = asyncio.create_task(cluster.start_agent(gone))
+                    filing = [
+                        file(caller, f"outage-{number}-{copy}", OUTAGE_DEADLINE)
+                        for number, caller in enumerate(callers)
+                        for copy in range(4)
+                    ]
+                    outcomes = await asyncio.gather(*filing)
+                    numbers = [json.loads(await anext(lines))["n"] for _ in range(20)]
+                    assert numbers == list(range(2, 22))
+                    await asyncio.to_thread(store.set_faults, outage="")
+                    await starting
+                    await cluster.settle()
+                await hold_to_true(cluster, outcomes)
+                assert "done" in {outcome for _, outcome in outcomes}
+                late = [file(caller, f"after-{n}") for n, caller in enumerate(callers)]
+                after = await asyncio.gather(*late)
+                assert {outcome for _, outcome in after} == {"done"}
+
+        fresh.run(check(fresh.cluster))
+
+
+async def owner(cluster):
+    """Name the agent that holds the only open connection."""
+    for name in ("tally-1", "tally-2", "tally-3"):
+        if (await cluster.status(cluster.agents_by_name[name])).streams:
+            return name
+    raise AssertionError("no agent has an open stream")
+
+
+class TestRollingRestart:
+    def test_streams_and_tickets_outlast_a_restart_of_all_agents(self, fresh):
+        """
+        Symptom: an upgrade cuts feeds, or bills a haulier twice.
+        Sequence: every agent of a service drains and is started again, one
+        by one, while callers file tickets and read feeds.
+        Cause: a drain ended before the streams did, or what the leaving one
+        knew of finished tickets left with it.
+        """
+
+        async def check(cluster):
+            ended = asyncio.Event()
+            outcomes = []
+
+            async def read(caller):
+                count = 0
+                while not ended.is_set():
+                    path = "/tally/feed?every=0.05&count=30"
+                    async with caller.stream("GET", path) as feed:
+                        lines = [json.loads(line) async for line in feed.iter_lines()]
+                    assert [line["n"] for line in lines] == list(range(1, 31))
+                    assert len({line["target"] for line in lines}) == 1
+                    count += 1
+                assert caller.cuts == 0
+                return count
+
+            async def clerk(caller, number):
+                copy = 0
+                while not ended.is_set():
+                    copy += 1
+                    ticket = f"rolling-{number}-{copy}"
+                    outcomes.append(await file(caller, ticket))
+                    # A late copy has to find the answer wherever it arrives.
+                    assert await file(caller, ticket) == (ticket, "done")
+                assert caller.cuts == 0
+
+            async with sessions(cluster, 4) as readers, sessions(cluster, 4) as clerks:
+                work = asyncio.gather(
+                    *map(read, readers),
+                    *(clerk(caller, number) for number, caller in enumerate(clerks)),
+                )
+                for name in ("tally-1", "tally-2", "tally-3"):
+                    leaving = cluster.drain_agent(name)
+                    assert await asyncio.to_thread(leaving.wait, 40.0) == 0
+                    await cluster.start_agent(name)
+                    await cluster.settle()
+                ended.set()
+                counts = await work
+            assert all(counts[: len(readers)])
+            assert {outcome for _, outcome in outcomes} == {"done"}
+            await hold_to_true(cluster, outcomes)
+
+        fresh.run(check(fresh.cluster))
