Refuse a service certificate that can't be used

A file without a certificate ended the agent with a traceback, and a key of another certificate let it start and fail every handshake. Both are one line with a code now, at the start and on a reload. A starting agent asks its target at every tick instead of once a second.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
@@ -126,6 +126,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._events: deque[AgentEvent] = deque()
         self._feeding = False
+        self._probing = False
         node.on_configuration(self._configure)
         node.on_roster(self._learn_roster)
         node.on_relay(self._serve_relay)
@@ -133,7 +134,7 @@
         node.on_status(self._status)
         node.on_reload(self.traffic.reload)
         node.every(TICK, self._tick)
-        node.every(PROBE, lambda: self.spawn(self._probe()))
+        node.every(PROBE, self._probe_soon)
         node.every(KEEP_ALIVE, self.traffic.keep_alive)
 
     # Events and effects
@@ -196,6 +197,8 @@
 
     def _tick(self) -> None:
         self.feed(Tick())
+        if self.core.state is AgentState.STARTING:
+            self._probe_soon()
         if self.leaving:
             self.traffic.close_idle()
 
@@ -222,7 +225,18 @@
             }
         )
 
+    def _probe_soon(self) -> None:
+        if not self._probing:
+            self._probing = True
+            self.spawn(self._probe())
+
     async def _probe(self) -> None:
+        try:
+            await self._ask_target()
+        finally:
+            self._probing = False
+
+    async def _ask_target(self) -> None:
         if self.service.protocol is Protocol.UDP:
             # A plain UDP target has no endpoint that could be asked.
             self.feed(TargetReported(not self.traffic.flows.refused, None, True))
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/quic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/quic.py
@@ -9,6 +9,7 @@
 import logging
 import os
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any, Protocol
 
 from aioquic import tls
@@ -25,6 +26,8 @@
 from aioquic.quic.packet_builder import QuicPacketBuilder
 from aioquic.quic.recovery import QuicPacketNumberWindow, QuicPacketSpace
 from aioquic.quic.stream import QuicStream
+from cryptography.exceptions import UnsupportedAlgorithm
+from zinniahook_core.codes import Code, ZinniahookError
 from zinniahook_core.models import Address
 from zinniahook_core.routing import CONNECTION_ID_LENGTH
 
@@ -65,15 +68,15 @@
         """Learn that the connection has ended; nothing can be sent any more."""
 
 
-def make_configuration(certificate: str, key: str) -> QuicConfiguration:
+def make_configuration(certificate: Path, key: Path) -> QuicConfiguration:
     """Read the certificate and key that callers see.
 
     Every connection shares the object; a reload makes a new one.
 
     Raises
     ------
-    OSError, ValueError
-        If a file can't be read or is not PEM.
+    ZinniahookError
+        If a file can't be read, isn't PEM, or the two don't belong together.
     """
     configuration = QuicConfiguration(
         alpn_protocols=["h3"],
@@ -84,10 +87,25 @@
         # Each further version costs a handshake three more key derivations.
         supported_versions=[QuicProtocolVersion.VERSION_1],
     )
-    configuration.load_cert_chain(certificate, key)
+    try:
+        configuration.load_cert_chain(certificate, key)
+        own = configuration.certificate.public_key()
+        matching = own == configuration.private_key.public_key()
+    except (OSError, ValueError, TypeError, UnsupportedAlgorithm) as error:
+        raise _unusable(certificate, key, str(error)) from None
+    if not matching:
+        # Every handshake would fail, and only callers would see why.
+        raise _unusable(certificate, key, "the key is not the certificate's")
     return configuration
 
 
+def _unusable(certificate: Path, key: Path, reason: str) -> ZinniahookError:
+    return ZinniahookError(
+        f"no usable certificate in {certificate}, {key}: {reason}",
+        Code.SETTINGS_FILE_MISSING,
+    )
+
+
 class PacketWindow(QuicPacketNumberWindow):
     """The packet numbers received lately, as the bits of one integer.
 
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
@@ -7,7 +7,7 @@
 
 from aioquic.h3.connection import ErrorCode
 from zinniahook_core import effects as todo
-from zinniahook_core.codes import Code
+from zinniahook_core.codes import Code, ZinniahookError
 from zinniahook_core.events import FlowDatagram, FlowOpening, PeerDatagram
 from zinniahook_core.models import Address, Configuration, Protocol
 from zinniahook_core.paths import Paths
@@ -84,11 +84,17 @@
         self.openings.tokens = RetryTokens(key)
 
     def reload(self) -> None:
-        """Read the certificate again, for new connections."""
+        """Read the certificate again, for new connections.
+
+        One that can't be used leaves the old one in force.
+        """
         settings = self.node.settings.agent
-        self.connections.configuration = make_configuration(
-            settings.certificate, settings.key
-        )
+        try:
+            self.connections.configuration = make_configuration(
+                settings.certificate, settings.key
+            )
+        except ZinniahookError as error:
+            self.node.log("certificate-refused", reason=str(error), code=error.code)
 
     def execute(self, effect: Any) -> None:
         """Carry out an effect on flows or peers."""
--- a/packages/zinniahook-daemon/tests/test_connections.py
+++ b/packages/zinniahook-daemon/tests/test_connections.py
@@ -13,7 +13,7 @@
 from aioquic.quic import events
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
-from zinniahook_core.codes import Code
+from zinniahook_core.codes import Code, ZinniahookError
 from zinniahook_core.models import Address, Key
 from zinniahook_core.routing import ConnectionIds, Owner, destination_of
 from zinniahook_daemon.connections import Connections
@@ -476,6 +476,27 @@
         assert 9_999 not in window
 
 
+class TestCertificate:
+    def test_a_file_that_is_none(self, tmp_path):
+        files = Authority(tmp_path).issue("service")
+        nothing = tmp_path / "nothing.pem"
+        nothing.write_text("no certificate")
+        for certificate, key in (
+            (nothing, files.key),
+            (files.certificate, nothing),
+            (files.certificate, files.certificate),
+            (tmp_path / "absent.pem", files.key),
+        ):
+            with pytest.raises(ZinniahookError, match="no usable certificate"):
+                make_configuration(certificate, key)
+
+    def test_a_key_of_another_certificate(self, tmp_path):
+        authority = Authority(tmp_path)
+        one, other = authority.issue("one"), authority.issue("other")
+        with pytest.raises(ZinniahookError, match="not the certificate's"):
+            make_configuration(one.certificate, other.key)
+
+
 class TestLibrary:
     """What `quic` takes from aioquic's inside."""
 
