--- a/packages/zinniahook-testkit/src/zinniahook_testkit/checks.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/checks.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NamedTuple
 
-from .load import LoadResult, Record
+from .loads import LoadResult, Record
 
 __all__ = [
     "Evidence",
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/deployments.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/deployments.py
@@ -6,7 +6,7 @@
 
 from zinniahook_core.models import RequestClass
 
-from .load import LoadPlan
+from .loads import LoadPlan
 from .target import Behaviour
 
 __all__ = ["DEPLOYMENTS_BY_NAME", "Deployment", "ServicePlan"]
--- a/packages/zinniahook-testkit/tests/test_checks.py
+++ b/packages/zinniahook-testkit/tests/test_checks.py
@@ -4,7 +4,7 @@
 
 import pytest
 from zinniahook_testkit.checks import Evidence, check, checks_by_rule, summarize
-from zinniahook_testkit.load import Record
+from zinniahook_testkit.loads import Record
 
 RULES = {
     "twice": "a non-idempotent request runs at most once",
--- a/packages/zinniahook-testkit/tests/test_load.py
+++ b/packages/zinniahook-testkit/tests/test_loads.py
@@ -1,7 +1,7 @@
 import asyncio
 import random
 
-from zinniahook_testkit.load import Load, Record
+from zinniahook_testkit.loads import Load, Record
 
 
 class SlowLoad(Load):
