Ask a home that was silent instead of claiming its flow

Cause: an agent that opened a flow for a silent home claimed it at once, and the home gave way if its own flow was less than 15 s old: an established flow moved for good when all asks to its home were lost. Change: the stand-in asks the home until it answers and yields to the owner it names.

--- a/packages/zinniahook-core/src/zinniahook_core/asks.py
+++ b/packages/zinniahook-core/src/zinniahook_core/asks.py
@@ -9,10 +9,11 @@
 from .events import FlowDatagram
 from .messages import FlowAsk
 
-__all__ = ["Asks", "Held"]
+__all__ = ["Asks", "Held", "StandIns"]
 
 ASK_TIMEOUT = 0.5
 ASK_REPEAT = 0.1
+STAND_IN_REPEAT = 0.5
 HELD_FLOWS = 1024
 HELD_PACKETS = 16
 HELD_BYTES = 4 * 1024 * 1024
@@ -113,3 +114,40 @@
         """Forget every held flow and packet."""
         self._held_by_flow.clear()
         self._bytes = 0
+
+
+class StandIns:
+    """Flows opened elsewhere than at their home, since the home was silent.
+
+    What goes wrong: a home that was paused, or whose answers got lost, owns
+    the flow already, and one caller's packets are spread over two targets for
+    good. One notices two owners. So the home is asked until it answers, and
+    the flow goes to the owner that it names.
+    """
+
+    def __init__(self) -> None:
+        self._number_by_flow: dict[bytes, int] = {}
+        self._next_round = 0.0
+
+    def add(self, flow: bytes, number: int) -> None:
+        """Ask for ``flow`` from the next round on, under ``number``."""
+        self._number_by_flow[flow] = number
+
+    def number(self, flow: bytes) -> int | None:
+        """Return the number of the ask for ``flow``, if there is one."""
+        return self._number_by_flow.get(flow)
+
+    def drop(self, flow: bytes) -> None:
+        """Ask no more for ``flow``."""
+        self._number_by_flow.pop(flow, None)
+
+    def due(self, now: float) -> list[tuple[bytes, int]]:
+        """Return what is to be asked now, once a round."""
+        if now < self._next_round:
+            return []
+        self._next_round = now + STAND_IN_REPEAT
+        return list(self._number_by_flow.items())
+
+    def clear(self) -> None:
+        """Ask for nothing."""
+        self._number_by_flow.clear()
--- a/packages/zinniahook-core/src/zinniahook_core/flows.py
+++ b/packages/zinniahook-core/src/zinniahook_core/flows.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Callable
 
-from .asks import Asks, Held
+from .asks import Asks, Held, StandIns
 from .codes import Code
 from .effects import (
     AcceptFlow,
@@ -78,6 +78,7 @@
         self._handshakes = Pointers()
         self._redirects = Pointers()
         self._asks = Asks()
+        self._stand_ins = StandIns()
 
     @property
     def count(self) -> int:
@@ -124,6 +125,7 @@
         self._handshakes.clear()
         self._redirects.clear()
         self._asks.clear()
+        self._stand_ins.clear()
         self.leaving = False
 
     def opening(self, now: float, event: FlowOpening) -> Effects:
@@ -197,6 +199,7 @@
             effects.append(Count("flows.ask_timeout"))
             effects += self._decide(now, held)
         effects += self._asks.repeats(now)
+        effects += self._ask_homes(now)
         effects += [EndFlow(flow) for flow in self._owned.sweep(now, self._idle)]
         effects += self._owned.messages(now, self._incarnation)
         self._pointers.expire(now, EXPIRED_PER_TICK)
@@ -322,14 +325,17 @@
         # silent for a while. The older one has the caller's history.
         home = self.homes.home(flow)
         if now - owned.opened < YOUNG or (home and home.name == pointer.owner):
-            self._owned.forget(flow)
-            self._pointers.put(flow, pointer)
-            return [EndFlow(flow), Count("flows.yielded")]
+            return self._yield(flow, pointer)
         if home and home.name == self.name:
             claim = FlowPointers(self.name, self._incarnation, (flow,))
             return [SendPeer(pointer.owner, claim)]
         return []
 
+    def _yield(self, flow: bytes, pointer: Pointer) -> Effects:
+        self._owned.forget(flow)
+        self._pointers.put(flow, pointer)
+        return [EndFlow(flow), Count("flows.yielded")]
+
     # Asking
 
     def _ask(self, now: float, flow: bytes, event: FlowDatagram) -> Effects:
@@ -365,7 +371,7 @@
             return []
         held = self._asks.match(flow, answer.number)
         if held is None:
-            return []
+            return self._settle_stand_in(now, sender, answer)
         if answer.owner == self.name:
             return self._accept(now, flow, self._asks.release(flow), sender)
         if self.homes.incarnation(answer.owner) is not None:
@@ -394,6 +400,33 @@
             self._redirects.put(flow, redirect)
             return self._forward(now, flow, packets, redirect)
         # The home is silent, and placement may not know yet that it is dead.
-        if self._refusal() is None:
-            return self._accept(now, flow, packets)
-        return self._open(now, flow, packets)
+        if self._refusal() is not None:
+            return self._open(now, flow, packets)
+        # Its home isn't told but asked: it may own the flow for long already.
+        self._stand_ins.add(flow, held.number)
+        return self._accept(now, flow, packets, handed_by=home.name)
+
+    def _ask_homes(self, now: float) -> Effects:
+        effects: Effects = []
+        for flow, number in self._stand_ins.due(now):
+            home = self.homes.home(flow)
+            if flow not in self._owned or home is None or home.name == self.name:
+                self._stand_ins.drop(flow)
+                continue
+            effects.append(SendPeer(home.name, FlowAsk(number, flow)))
+        return effects
+
+    def _settle_stand_in(self, now: float, sender: str, answer: FlowAnswer) -> Effects:
+        """Take the word of a home that was silent when its flow was opened here."""
+        flow = answer.flow
+        home = self.homes.home(flow)
+        known = self._stand_ins.number(flow) == answer.number
+        if not known or home is None or home.name != sender:
+            return []
+        self._stand_ins.drop(flow)
+        if flow not in self._owned or answer.owner == self.name:
+            return []
+        if self.homes.incarnation(answer.owner) is None:
+            self._owned.tell(flow)
+            return []
+        return self._yield(flow, self._pointer_to(now, answer.owner, self._idle))
--- a/packages/zinniahook-core/src/zinniahook_core/owners.py
+++ b/packages/zinniahook-core/src/zinniahook_core/owners.py
@@ -57,6 +57,12 @@
         self._by_flow[flow] = owned
         self._follow_home(now, flow, owned, known_by)
 
+    def tell(self, flow: bytes) -> None:
+        """Tell the present home of an owned flow."""
+        owned = self._by_flow.get(flow)
+        if owned is not None and owned.home is not None:
+            self._sender.tell(owned.home, flow)
+
     def forget(self, flow: bytes) -> None:
         """Own ``flow`` no longer."""
         owned = self._by_flow.pop(flow, None)
--- a/packages/zinniahook-core/tests/test_flows.py
+++ b/packages/zinniahook-core/tests/test_flows.py
@@ -434,15 +434,18 @@
         kept = {number: name for number, name in owners.items() if name != "a-0"}
         assert network.moved(kept) == []
 
-    def test_two_owners_become_one(self):
+    @pytest.mark.parametrize("age", [3.0, 20.0])
+    def test_two_owners_become_one(self, age):
         """One caller's packets were spread over two targets for good.
 
         Sequence: the home is paused when a peer asks it, so the peer opens
-        the flow that the home has owned for long; the home wakes up.
+        the flow that the home owns already; the home wakes up.
+        Cause: the peer claimed the flow, and a home whose own was young gave
+        way, although the other was younger still.
         """
         network = Network(7, 3)
         owners = network.open(40)
-        network.run(20.0)
+        network.run(age)
         number = next(n for n, name in owners.items() if name == "a-0")
         network.dead.add("a-0")
         network.post(0.0, ("datagram", "a-1", network.entries[0], number, b"x", 0, ""))
