Measure rollouts through the tree of daemons

Cause: calls at the store must not grow with the fleet. Change: scenario rollout-tree waits until the daemons have parted, then measures as rollout does.

--- a/packages/zinniahook-testkit/src/zinniahook_testkit/rollout.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/rollout.py
@@ -36,6 +36,10 @@
 """Daemons to each entry among them; an agent needs a target process as well."""
 
 
+PARTED_TIMEOUT = 120.0
+"""Seconds for daemons to part into those that watch the store and the rest."""
+
+
 class Rollout(NamedTuple):
     """What changes cost with ``daemons`` daemons.
 
@@ -138,6 +142,8 @@
         async with cluster:
             await cluster.change(_drain_of(1.5))
             await _in_force(cluster, 2)
+            if watchers:
+                await _parted(cluster, watchers * len(deployment.data_centres))
             store = StoreProcess(cluster.store_process)
             await asyncio.to_thread(store.set_faults, delay=delay)
             return await _commit_all(cluster, store, daemons, changes)
@@ -178,6 +184,19 @@
     return moments
 
 
+async def _parted(cluster: Cluster, watchers: int) -> None:
+    """Wait until only so many daemons learn from the store itself.
+
+    Daemons that start together all watch it at first.
+    """
+    async with asyncio.timeout(PARTED_TIMEOUT):
+        while True:
+            replies = await cluster.statuses()
+            if sum(reply.depth <= 1 for reply in replies) <= watchers:
+                return
+            await asyncio.sleep(1.0)
+
+
 def _drain_of(seconds: float):
     def edit(document: Document) -> Document:
         service = document.services_by_name["tally"]._replace(drain=seconds)
