--- a/packages/zinniahook-core/src/zinniahook_core/requests.py
+++ b/packages/zinniahook-core/src/zinniahook_core/requests.py
@@ -171,8 +171,8 @@
         """Fence this agent: drop what waits, cancel what runs without a claim.
 
         ``incarnation`` is the next one, to be confirmed. A claimed request
-        that runs at the target goes on there; its record says unknown until
-        the target ends it.
+        that runs at the target goes on there, but its record says unknown.
+
         """
         for item in self._open:
             if item.stage is Stage.RUNNING and item.claimed:
--- /dev/null
+++ b/packages/zinniahook-core/tests/test_claims.py
@@ -0,0 +1,443 @@
+"""Claims: one run a key, through losses, moves of ownership and pauses."""
+
+import pytest
+from request_fakes import Group
+from zinniahook_core import records
+from zinniahook_core.claims import GRANT_LIFETIME
+from zinniahook_core.codes import Code, OutcomeKind
+from zinniahook_core.events import RequestArrived
+from zinniahook_core.messages import ClaimRecord, ClaimState
+from zinniahook_core.models import AgentState
+from zinniahook_core.records import KEY_LIFETIME, Records, granted, refused
+from zinniahook_core.rendezvous import rank
+from zinniahook_core.requests import Requests
+from zinniahook_testkit import atmostonce
+
+UNKNOWN = OutcomeKind.UNKNOWN
+NOT_RUN = OutcomeKind.NOT_RUN
+
+
+class TestOwner:
+    def test_second_copy_goes_to_the_runner(self):
+        group = Group()
+        _owner, first, second, _ = group.ranked()
+        group.request(first, 1)
+        group.request(second, 2, attempt=2)
+        assert group.ran(first) == [1]
+        assert group.relayed(second, 2) == [first]
+
+    def test_finished_answer_is_replayed_though_its_runner_died(self):
+        group = Group()
+        _owner, first, second, _ = group.ranked()
+        group.request(first, 1)
+        group.finish(first, 1)
+        group.crash(first)
+        group.set(first, AgentState.DOWN)
+        group.request(second, 2, attempt=2)
+        assert group.replayed(second, 2) == [b"filed"]
+
+    def test_running_when_its_runner_died_is_unknown(self):
+        group = Group()
+        _owner, first, second, _ = group.ranked()
+        group.request(first, 1)
+        group.crash(first)
+        group.set(first, AgentState.DOWN)
+        group.request(second, 2, attempt=2)
+        assert group.outcome(second, 2).kind is UNKNOWN
+        assert group.outcome(second, 2).code is Code.ANSWER_LOST
+
+    def test_silent_owner_leaves_it_unknown_and_never_runs_it(self):
+        group = Group()
+        owner, first, *_ = group.ranked()
+        group.crash(owner)
+        group.request(first, 1, deadline=group.now + 3)
+        group.run(4)
+        assert group.ran(first) == []
+        assert group.outcome(first, 1).kind is UNKNOWN
+
+    def test_lost_messages_are_repeated(self):
+        group = Group()
+        owner, first, *_ = group.ranked()
+        group.blocked.add((first, owner))
+        group.request(first, 1)
+        assert group.ran(first) == []
+        group.blocked.clear()
+        group.run(0.5)
+        assert group.ran(first) == [1]
+
+    def test_owner_that_runs_it_has_a_second_holder_first(self):
+        """
+        Symptom: a request runs again after a single death.
+        Sequence: the claim owner runs a request itself and dies.
+        Cause: nobody else had a record of it.
+        """
+        group = Group()
+        owner, _second, third, _ = group.ranked()
+        group.blocked = {(owner, name) for name in "abcd"}
+        group.request(owner, 1)
+        assert group.ran(owner) == []
+        group.blocked.clear()
+        group.run(0.5)
+        assert group.ran(owner) == [1]
+        group.crash(owner)
+        group.set(owner, AgentState.DOWN)
+        group.request(third, 2, attempt=2)
+        group.run(1)
+        assert group.ran(third) == []
+        assert group.outcome(third, 2).kind is UNKNOWN
+
+    def test_single_member_runs_alone(self):
+        group = Group("a")
+        group.request("a", 1)
+        assert group.ran("a") == [1]
+
+
+class TestRefusal:
+    def test_late_copy_of_a_refused_attempt_never_runs(self):
+        group = Group(slots=1)
+        _owner, first, second, _ = group.ranked()
+        group.request(first, 1, deadline=group.now - 1)
+        assert group.outcome(first, 1).kind is NOT_RUN
+        group.request(second, 2, attempt=1)
+        assert group.outcome(second, 2).kind is NOT_RUN
+        group.request(second, 3, attempt=2)
+        assert group.ran(second) == [3]
+
+    def test_refusing_what_runs_elsewhere_joins_it(self):
+        group = Group()
+        _owner, first, second, _ = group.ranked()
+        group.request(first, 1)
+        group.request(second, 2, attempt=2, deadline=group.now - 1)
+        assert group.outcome(second, 2) is None
+        assert group.relayed(second, 2) == [first]
+
+    def test_without_the_owner_it_is_unknown(self):
+        group = Group()
+        owner, first, *_ = group.ranked()
+        group.crash(owner)
+        group.request(first, 1, deadline=group.now - 1)
+        group.run(9)
+        assert group.outcome(first, 1).kind is UNKNOWN
+
+    def test_unnumbered_attempt_is_told_to_wait_out_the_tombstone(self):
+        group = Group()
+        _owner, first, second, _ = group.ranked()
+        group.request(first, 1, attempt=0, deadline=group.now - 1)
+        wait = group.outcome(first, 1).retry_after
+        assert wait >= records.UNNUMBERED_LIFETIME
+        group.request(second, 2, attempt=0)
+        assert group.outcome(second, 2).kind is NOT_RUN
+        group.run(wait + 0.1)
+        group.request(second, 3, attempt=0)
+        assert group.ran(second) == [3]
+
+    def test_refusal_outlives_its_owner(self):
+        """
+        Symptom: a request runs after its caller was told that it didn't.
+        Sequence: the owner refuses it and dies; a late copy arrives elsewhere.
+        Cause: only the owner knew of the refusal.
+        """
+        group = Group()
+        owner, _, third, _ = group.ranked()
+        group.request(owner, 1, deadline=group.now - 1)
+        assert group.outcome(owner, 1).kind is NOT_RUN
+        group.crash(owner)
+        group.set(owner, AgentState.DOWN)
+        group.request(third, 2, attempt=1)
+        group.run(2)
+        assert group.ran(third) == []
+
+    def test_later_attempt_that_joined_is_refused_by_its_own_number(self):
+        """
+        Symptom: a refused attempt runs.
+        Sequence: a late copy of attempt 1 waits; attempt 3 joins it; both are
+        refused; a copy of attempt 3 arrives elsewhere.
+        Cause: the tombstone names the attempt of the first copy.
+        """
+        group = Group()
+        owner, first, second, _ = group.ranked()
+        group.blocked.add((first, owner))
+        group.request(first, 1, attempt=1, deadline=group.now - 1)
+        group.request(first, 3, attempt=3)
+        group.blocked.clear()
+        group.run(0.5)
+        assert group.outcome(first, 3).kind is NOT_RUN
+        group.request(second, 4, attempt=3)
+        assert group.ran(second) == []
+
+
+class TestNewOwner:
+    def test_asks_the_others_before_it_grants(self):
+        """
+        Symptom: a doubled ticket after a member joined.
+        Sequence: a request runs; a member joins that is better for its key; a
+        copy arrives.
+        Cause: the new owner takes its own ignorance for a proof.
+        """
+        group, key = self.before_a_join()
+        _, first, second = group.ranked(key)
+        group.request(first, 1, key)
+        group.finish(first, 1)
+        group.join("d")
+        group.run(0.1)
+        group.request(second, 2, key, attempt=2)
+        assert group.ran(second) == []
+        assert group.replayed(second, 2) == [b"filed"]
+
+    def test_denial_under_an_older_roster_counts_for_nothing(self):
+        """
+        Symptom: two agents run one request while a roster spreads.
+        Sequence: a member joins and owns the key; it asks agents that don't
+        know of it; they know of no claim, and then make one among themselves.
+        Cause: a denial was taken for a promise that its giver can't keep.
+        """
+        group, key = self.before_a_join()
+        _, first, second = group.ranked(key)
+        group.join("d", tell=False)
+        group.tell("d", second)
+        group.request(second, 2, key, attempt=2)
+        group.run(0.3)
+        group.request(first, 1, key)
+        assert group.ran(first) == [1]
+        group.tell()
+        group.run(2)
+        assert group.ran(second) == []
+
+    def test_claim_under_an_older_roster_is_not_held(self):
+        """
+        Symptom: two agents run one request while a roster spreads.
+        Sequence: a member joins and owns the key; the former owner, which
+        doesn't know, runs it, with a holder that has denied it to the new one.
+        Cause: a claim was made that a lookup had passed already.
+        """
+        group, key = self.before_a_join()
+        owner, *others = group.ranked(key)
+        group.join("d", tell=False)
+        group.tell("d", *others)
+        group.request(owner, 1, key)
+        group.run(1)
+        assert group.ran(owner) == []
+        group.tell()
+        group.run(1)
+        assert group.ran(owner) == [1]
+
+    @staticmethod
+    def before_a_join():
+        """Return a group and a key that "d" will own as soon as it joins."""
+        keys = (b"%d" % number for number in range(99))
+        return Group("abc"), next(key for key in keys if rank(key, "abcd")[0] == "d")
+
+    def test_grants_what_nobody_knows_after_one_death(self):
+        group = Group()
+        owner, first, *_ = group.ranked()
+        group.crash(owner)
+        group.set(owner, AgentState.DOWN)
+        group.request(first, 1, attempt=2)
+        group.run(1)
+        assert group.ran(first) == [1]
+
+    def test_does_not_grant_after_two_deaths_at_once(self):
+        """
+        Symptom: a request runs again after two members died together.
+        Sequence: its owner and its runner die; a copy arrives.
+        Cause: all records of it are lost, and no record looks like no run.
+        """
+        group = Group()
+        owner, first, second, _ = group.ranked()
+        group.request(first, 1)
+        for name in (owner, first):
+            group.crash(name)
+            group.set(name, AgentState.DOWN, tell=False)
+        group.tell()
+        group.run(1)
+        group.request(second, 2, attempt=2)
+        group.run(2)
+        assert group.ran(second) == []
+        assert group.outcome(second, 2).kind is UNKNOWN
+
+    def test_two_deaths_apart_are_survived(self):
+        group = Group()
+        owner, first, second, third = group.ranked()
+        group.request(first, 1)
+        group.finish(first, 1)
+        group.run(2)
+        for name in (owner, first):
+            group.crash(name)
+            group.set(name, AgentState.DOWN)
+            group.run(3)
+        group.request(third, 2, attempt=2)
+        group.run(1)
+        assert group.replayed(third, 2) == [b"filed"]
+        group.request(third, 3, b"new", attempt=2)
+        group.run(1)
+        assert 3 in group.ran(third) + group.ran(second)
+
+    def test_two_rosters_never_make_two_owners(self):
+        """
+        Symptom: two agents run one request while a roster spreads.
+        Sequence: the owner is marked down but lives, and so does an agent that
+        hasn't heard of it; another agent asks the new owner.
+        Cause: two members believe to be the owner.
+        """
+        group = Group()
+        owner, first, second, _ = group.ranked()
+        group.set(owner, AgentState.DOWN, tell=False)
+        others = [name for name in group.cores if name not in (owner, second)]
+        group.tell(*others)
+        group.request(first, 1)
+        group.request(second, 2)
+        group.run(1)
+        assert len(group.ran(first) + group.ran(second)) <= 1
+        group.tell(second)
+        group.run(1)
+        assert group.ran(first) + group.ran(second) in ([1], [2])
+
+    def test_grant_that_waited_in_a_paused_process_is_void(self):
+        """
+        Symptom: a doubled ticket after a process was stopped for a while.
+        Sequence: an agent asks; it is paused; the grant waits in its socket.
+        Cause: it acts on an authority that may be another's by now.
+        """
+        group = Group()
+        owner, first, *_ = group.ranked()
+        group.feed(first, RequestArrived(1, "ticket", False, b"k", 1, 0.0))
+        grants = group.hold(first)
+        assert [message.state for _, _, message in grants] == [ClaimState.GRANTED]
+        group.crash(owner)
+        group.now += GRANT_LIFETIME + 0.1
+        group.messages.extend(grants)
+        group.deliver()
+        assert group.ran(first) == []
+
+    def test_new_life_of_a_name_vouches_for_nothing(self):
+        """
+        Symptom: a doubled ticket after two members crashed and came back.
+        Sequence: owner and runner crash; both start again under their names,
+        one before anybody noticed the other's crash.
+        Cause: the new life was taken for the old one, with its records.
+        """
+        group = Group()
+        owner, first, second, _ = group.ranked()
+        group.request(first, 1)
+        group.crash(owner)
+        group.crash(first)
+        group.join(owner, incarnation=2)
+        group.run(2)
+        group.join(first, incarnation=2)
+        group.run(2)
+        group.request(second, 2, attempt=2)
+        group.run(2)
+        assert group.ran(second) == []
+
+
+class TestLeaving:
+    def test_two_others_hold_what_a_leaving_member_held(self):
+        group = Group()
+        owner, first, _second, third = group.ranked()
+        group.request(first, 1)
+        group.finish(first, 1)
+        group.run(2)
+        for name in (owner, first):
+            group.set(name, AgentState.LEAVING)
+            group.run(2)
+            assert group.cores[name].idle
+            group.crash(name)
+            group.remove(name)
+        group.run(1)
+        group.request(third, 2, attempt=2)
+        group.run(1)
+        assert group.replayed(third, 2) == [b"filed"]
+
+
+class TestRecords:
+    def test_forgotten_early_makes_unknown(self):
+        """
+        Symptom: a doubled ticket on a busy agent.
+        Sequence: a record makes room for newer ones; a copy of it arrives.
+        Cause: a key without a record looks like one that never ran.
+        """
+        group = Group("ab")
+        owner, other = group.ranked()
+        held = group.cores[owner].claims.records
+        group.request(other, 1)
+        held._limit = 1
+        held.put(group.now, b"newer", granted(group.now, "x", 1, 1))
+        assert held.evicted == 1
+        group.crash(other)
+        group.set(other, AgentState.DOWN)
+        group.request(owner, 2, attempt=2)
+        assert group.ran(owner) == []
+        assert group.outcome(owner, 2).kind is UNKNOWN
+
+    def test_answers_are_bounded_by_bytes_and_the_tombstone_stays(self):
+        held = Records(answers_limit=100)
+        for number in range(5):
+            record = granted(0.0, "a", 1, 1)
+            record.state, record.answer = ClaimState.FINISHED, bytes(40)
+            held.put(0.0, b"%d" % number, record)
+        assert held.answer_bytes <= 100
+        assert held.evicted_answers == 3
+        assert held.get(0.0, b"0").state is ClaimState.FINISHED
+
+    def test_records_end_with_the_lifetime_of_their_key(self):
+        held = Records()
+        held.put(0.0, b"k", granted(0.0, "a", 1, 1))
+        assert held.get(KEY_LIFETIME - 1, b"k")
+        assert held.get(KEY_LIFETIME + 1, b"k") is None
+        held.expire(KEY_LIFETIME + 1)
+        assert len(held) == 0
+
+    @pytest.mark.parametrize("attempt", [1, 2])
+    def test_reordered_refusal_does_not_undo_a_later_grant(self, attempt):
+        held = Records()
+        held.put(0.0, b"k", granted(0.0, "a", 1, 2))
+        late = ClaimRecord(b"k", ClaimState.REFUSED, "a", 1, attempt, 0.0)
+        held.absorb(0.0, late, "a", 1)
+        state = held.get(0.0, b"k").state
+        assert state is (ClaimState.REFUSED if attempt == 2 else ClaimState.GRANTED)
+
+    def test_contradiction_is_not_held(self):
+        held = Records()
+        held.put(0.0, b"k", granted(0.0, "a", 1, 1))
+        other = ClaimRecord(b"k", ClaimState.GRANTED, "b", 1, 1, 0.0)
+        assert not held.absorb(0.0, other, "b", 1)
+        assert held.get(0.0, b"k").runner == "a"
+
+    def test_higher_refusal_is_kept(self):
+        held = Records()
+        held.put(0.0, b"k", refused(0.0, "a", 1, 5))
+        held.put(0.0, b"k", refused(0.0, "a", 1, 2))
+        assert held.get(0.0, b"k").attempt == 5
+
+
+class WithoutOwner(Requests):
+    """Broken: grants and refuses without asking the claim owner."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.claims.view.owner = lambda key: self.claims._name
+        self.claims.view.partners = lambda key: []
+        self.claims.view.fresh = lambda now, key: False
+
+
+class WithoutLookups(Requests):
+    """Broken: a new owner takes its ignorance for a proof."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.claims.view.fresh = lambda now, key: False
+
+
+class TestUnderFaults:
+    def test_nothing_runs_twice_and_not_run_is_true(self):
+        result = atmostonce.measure(2000, seed=4)
+        assert result.doubled == 0
+        assert result.falsely_refused == 0
+        assert result.open == 0
+        assert result.done > 0.5 * result.requests
+
+    @pytest.mark.parametrize("broken", [WithoutOwner, WithoutLookups])
+    def test_check_catches_broken_variants(self, broken):
+        faults = atmostonce.DENSE_FAULTS
+        result = atmostonce.measure(3000, seed=4, faults=faults, make_core=broken)
+        assert result.doubled + result.falsely_refused > 0
--- /dev/null
+++ b/packages/zinniahook-core/tests/test_requests.py
@@ -0,0 +1,251 @@
+"""Requests at an agent: copies, relays, retries, cancellation and drain."""
+
+import pytest
+from request_fakes import DONE, Group
+from zinniahook_core.codes import Code, Outcome, OutcomeKind
+from zinniahook_core.effects import CancelRequest, FinishRequest, JoinRequest, Relay
+from zinniahook_core.events import DrainRequested, RequestCancelled
+from zinniahook_core.models import AgentState
+
+FAILED = Outcome(OutcomeKind.UNKNOWN, Code.TARGET_FAILED)
+REFUSED = Outcome(OutcomeKind.NOT_RUN, Code.TARGET_FAILED, 1.0)
+BROKEN = Outcome(OutcomeKind.UNKNOWN, Code.ANSWER_LOST)
+
+
+class Hands:
+    """A placement that hands to one peer, or only where it is forced."""
+
+    def __init__(self, peer, always=False):
+        self.peer, self.always = peer, always
+
+    def choose_for_request(self, now, slots_needed, local, forced=False):
+        return self.peer if forced or self.always else None
+
+    def handed(self, now, peer, slots=1):
+        pass
+
+
+def placed(group, name, **kwargs):
+    group.cores[name]._placement = Hands(**kwargs)
+
+
+class TestCopies:
+    def test_copy_joins_the_one_that_runs(self):
+        group = Group("a")
+        group.request("a", 1)
+        group.request("a", 2, attempt=2)
+        assert group.of("a", JoinRequest) == [JoinRequest(2, 1)]
+
+    def test_copies_get_the_answer_of_a_run_that_failed(self):
+        group = Group("a")
+        group.request("a", 1)
+        group.request("a", 2, attempt=2)
+        group.finish("a", 1, b"", FAILED)
+        assert group.outcome("a", 1) == group.outcome("a", 2) == FAILED
+        group.request("a", 3, attempt=3)
+        assert group.outcome("a", 3).kind is OutcomeKind.UNKNOWN
+        assert group.ran("a") == [1]
+
+    def test_copy_that_leaves_is_not_answered(self):
+        group = Group("a")
+        group.request("a", 1)
+        group.request("a", 2, attempt=2)
+        group.feed("a", RequestCancelled(2))
+        group.finish("a", 1, b"", FAILED)
+        assert group.outcome("a", 2) is None
+
+    def test_caller_that_comes_back_gets_the_answer_of_its_run(self):
+        """
+        Symptom: a clerk files a ticket again that was filed.
+        Sequence: the connection breaks while the ticket runs; the device
+        connects again and sends the same key.
+        Cause: the run was cancelled with the connection.
+        """
+        group = Group("a")
+        group.request("a", 1)
+        group.feed("a", RequestCancelled(1))
+        assert group.of("a", CancelRequest) == []
+        group.request("a", 2, attempt=2)
+        assert group.of("a", JoinRequest) == [JoinRequest(2, 1)]
+        group.finish("a", 1)
+        group.request("a", 3, attempt=3)
+        assert group.replayed("a", 3) == [b"filed"]
+
+    def test_next_copy_leads_if_the_first_leaves_before_it_runs(self):
+        group = Group("a", slots=1)
+        group.request("a", 1, b"other")
+        group.request("a", 2)
+        group.request("a", 3, attempt=2)
+        group.feed("a", RequestCancelled(2))
+        group.finish("a", 1)
+        assert group.ran("a") == [1, 3]
+
+
+class TestFailures:
+    def test_idempotent_request_is_tried_at_a_peer_once(self):
+        group = Group("ab")
+        placed(group, "a", peer="b")
+        group.request("a", 1, b"", idempotent=True)
+        group.finish("a", 1, b"", FAILED)
+        assert group.relayed("a", 1) == ["b"]
+        group.finish("a", 1, b"", FAILED)
+        assert group.outcome("a", 1) == FAILED
+
+    @pytest.mark.parametrize("key", [b"", b"k"])
+    def test_post_that_may_have_run_is_never_tried_again(self, key):
+        group = Group("ab")
+        placed(group, "a", peer="b")
+        group.request("a", 1, key)
+        group.finish("a", 1, b"", FAILED)
+        assert group.relayed("a", 1) == []
+        assert group.outcome("a", 1).kind is OutcomeKind.UNKNOWN
+
+    def test_target_that_saw_nothing_leaves_it_certainly_not_run(self):
+        group = Group("ab")
+        runner = group.ranked()[1]
+        group.request(runner, 1)
+        group.finish(runner, 1, b"", REFUSED, started=False)
+        assert group.outcome(runner, 1).kind is OutcomeKind.NOT_RUN
+        group.request(runner, 2, attempt=2)
+        assert group.ran(runner) == [1, 2]
+
+    def test_broken_relay_is_settled_by_the_owner(self):
+        """
+        Symptom: "not run" is said of a ticket that was filed.
+        Sequence: an agent relays it; the relay breaks after the peer ran it.
+        Cause: a relay that broke was taken for a request that didn't run.
+        """
+        group = Group("abc")
+        _owner, first, second = group.ranked()
+        placed(group, first, peer=second, always=True)
+        group.request(first, 1)
+        group.request(second, 7, relayed_by=first)
+        group.finish(second, 7)
+        lost = Outcome(OutcomeKind.NOT_RUN, Code.NO_AGENT)
+        group.finish(first, 1, b"", lost, started=False)
+        assert group.outcome(first, 1) is None
+        assert group.replayed(first, 1) == [b"filed"]
+
+    def test_relayed_request_is_not_relayed_again(self):
+        group = Group("ab")
+        placed(group, "b", peer="a", always=True)
+        group.request("b", 1, b"", relayed_by="a")
+        assert group.relayed("b", 1) == []
+        assert group.ran("b") == [1]
+
+    def test_two_relays_to_each_other_do_not_wait_for_each_other(self):
+        """
+        Symptom: two copies of a request are never answered.
+        Sequence: two agents relay their copies to each other at once.
+        Cause: each relayed copy joins the copy that was relayed away.
+        """
+        group = Group("ab")
+        placed(group, "a", peer="b", always=True)
+        placed(group, "b", peer="a", always=True)
+        group.request("a", 1)
+        group.request("b", 2, attempt=2)
+        group.request("b", 3, relayed_by="a")
+        group.request("a", 4, attempt=2, relayed_by="b")
+        assert len(group.ran("a") + group.ran("b")) == 1
+
+
+class TestWaiting:
+    def test_dead_owner_does_not_hold_the_slots(self):
+        """
+        Symptom: nothing is served until a dead member is marked down.
+        Sequence: an owner dies; requests for its keys take every slot.
+        Cause: a request that waits for a claim holds its slot meanwhile.
+        """
+        group = Group(slots=1)
+        owner, first, *_ = group.ranked()
+        group.crash(owner)
+        group.request(first, 1)
+        group.run(0.5)
+        group.request(first, 2, b"", idempotent=True)
+        assert group.ran(first) == [2]
+        group.finish(first, 2)
+        group.set(owner, AgentState.DOWN)
+        group.run(1)
+        assert group.ran(first) == [2, 1]
+
+    def test_target_that_hangs_gives_its_slot_back(self):
+        """
+        Symptom: an agent serves nothing though nothing runs.
+        Sequence: the target hangs on a request whose caller set a deadline.
+        Cause: only the target's answer frees a slot.
+        """
+        group = Group("a", slots=1)
+        group.request("a", 1, b"", deadline=group.now + 2, idempotent=True)
+        group.run(2.2)
+        assert group.of("a", CancelRequest) == [CancelRequest(1)]
+        group.run(1.2)
+        assert group.outcome("a", 1).code is Code.DEADLINE_EXPIRED
+        assert group.cores["a"].busy == 0
+
+    def test_cancelled_request_is_cancelled_at_the_target(self):
+        group = Group("a")
+        group.request("a", 1, b"", idempotent=True)
+        group.feed("a", RequestCancelled(1))
+        assert group.of("a", CancelRequest) == [CancelRequest(1)]
+        assert group.cores["a"].busy == 0
+
+    def test_key_that_is_too_long_is_refused(self):
+        group = Group("a")
+        group.request("a", 1, bytes(129))
+        assert group.outcome("a", 1).code is Code.KEY_TOO_LONG
+
+
+class TestDrain:
+    def test_new_work_goes_to_a_peer_and_old_work_finishes(self):
+        group = Group("ab")
+        placed(group, "a", peer="b")
+        group.request("a", 1, b"", idempotent=True)
+        group.feed("a", DrainRequested(30.0))
+        group.request("a", 2, b"", idempotent=True)
+        assert group.relayed("a", 2) == ["b"]
+        assert not group.cores["a"].idle
+        group.finish("a", 1)
+        group.feed("a", RequestCancelled(2))
+        group.run(1)
+        assert group.cores["a"].idle
+
+    def test_without_a_peer_it_is_refused(self):
+        group = Group("a")
+        group.feed("a", DrainRequested(30.0))
+        group.request("a", 1, b"", idempotent=True)
+        assert group.outcome("a", 1).code is Code.LEAVING
+
+
+class TestFence:
+    def test_nothing_from_before_runs_after_it(self):
+        """
+        Symptom: a doubled ticket after a process was stopped for a while.
+        Sequence: a request waits for its claim; the process is paused and
+        marked down; it wakes and gets the grant.
+        Cause: what was queued before the pause went on after it.
+        """
+        group = Group(slots=1)
+        _owner, first, *_ = group.ranked()
+        group.request(first, 1, b"running", idempotent=True)
+        group.request(first, 2)
+        core = group.cores[first]
+        effects = core.restart(group.now, 2)
+        assert CancelRequest(1) in effects
+        group.set(first, AgentState.READY, incarnation=2)
+        group.finish(first, 1, b"", DONE)
+        group.run(2)
+        assert group.ran(first) == [1]
+        assert core.busy == core.queued == 0
+
+    def test_what_ran_before_it_is_unknown(self):
+        group = Group("ab")
+        runner = group.ranked()[1]
+        group.request(runner, 1)
+        group.cores[runner].restart(group.now, 2)
+        group.set(runner, AgentState.READY, incarnation=2)
+        group.run(1)
+        group.request(runner, 2, attempt=2)
+        assert group.ran(runner) == [1]
+        finished = group.of(runner, FinishRequest, 2)
+        assert [effect.outcome.kind for effect in finished] == [OutcomeKind.UNKNOWN]
+        assert group.of(runner, Relay) == []
