--- a/packages/zinniahook-testkit/src/zinniahook_testkit/experiments.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/experiments.py
@@ -195,16 +195,19 @@
 
 
 def _imbalance(evidence: Evidence, service: ServicePlan, hit: set[str]) -> list[Figure]:
-    """Compare the slot-seconds of the targets that no fault has hit."""
-    work = [
-        ledger["work"]
+    """Compare the slot-seconds and feeds of the targets that no fault has hit."""
+    ledgers = [
+        ledger
         for ledger in evidence.ledgers
         if ledger["service"] == service.name and ledger["target"] not in hit
     ]
-    mean = statistics.fmean(work) if work else 0.0
-    if not mean:
-        return []
-    return [
-        Figure("work max/mean", max(work) / mean, "ratio"),
-        Figure("work variation", statistics.pstdev(work) / mean, "cv"),
-    ]
+    work = [ledger["work"] for ledger in ledgers]
+    feeds = [ledger["counts"].get("started_feed", 0) for ledger in ledgers]
+    figures = []
+    for name, values in (("work", work), ("feeds", feeds)):
+        mean = statistics.fmean(values) if values else 0.0
+        if mean:
+            peak, deviation = max(values) / mean, statistics.pstdev(values) / mean
+            figures.append(Figure(f"{name} max/mean", peak, "ratio"))
+            figures.append(Figure(f"{name} variation", deviation, "cv"))
+    return figures
