Hold only the services in use at an entry, the rest packed

Change: rosters are kept as stored, compressed; at most 1,024 views are held, the last to get openings. A tick looks at services with openings that wait, a generation at views whose service differs.

--- a/packages/zinniahook-core/src/zinniahook_core/entries.py
+++ b/packages/zinniahook-core/src/zinniahook_core/entries.py
@@ -9,6 +9,7 @@
 
 import random
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from . import rendezvous
@@ -36,7 +37,8 @@
 
 __all__ = ["EntryCore"]
 
-OWNERS_LIMIT = 65536
+OWNERS_LIMIT = 16384
+VIEWS_LIMIT = 1024
 HINT_PATIENCE = 3.0
 
 
@@ -53,7 +55,7 @@
     """What an entry knows of one service's agents."""
 
     suspensions: Suspensions
-    roster: Roster | None = None
+    roster: Roster
     address_by_name: dict[str, Address] = field(default_factory=dict)
     live: frozenset[Address] = frozenset()
     fallback: tuple[str, ...] = ()
@@ -66,13 +68,25 @@
     ----------
     rng : random.Random
         The only source of randomness.
+    find_roster : callable, optional
+        Returns the newest roster of a service, None if there is none. With
+        it only VIEWS_LIMIT services are held at a time, the last to get
+        openings, and found again when needed; otherwise all that were told.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        find_roster: Callable[[str], Roster | None] | None = None,
+    ) -> None:
         self._rng = rng
+        self._find_roster = find_roster
         self._configuration: Configuration | None = None
         self._connection_ids: ConnectionIds | None = None
-        self._views_by_service: dict[str, ServiceView] = {}
+        self._views_by_service: OrderedDict[str, ServiceView] = OrderedDict()
+        # Only these have openings that wait for an answer; a tick that looked
+        # at thousands of services would cost more than the packets.
+        self._waiting_by_service: dict[str, Suspensions] = {}
         self._owners: OrderedDict[tuple[str, Address], Hint] = OrderedDict()
 
     @property
@@ -87,7 +101,7 @@
 
     def roster(self, service: str) -> Roster | None:
         """Return the newest roster learned of ``service``."""
-        view = self._views_by_service.get(service)
+        view = self._view(service)
         return view.roster if view else None
 
     def suspended(self, service: str) -> tuple[str, ...]:
@@ -169,7 +183,7 @@
         hint = self._owners.get(flow)
         if hint is None:
             return self._route_opening(now, service, caller, flow_key(caller))
-        view = self._views_by_service.get(service.name)
+        view = self._view(service.name)
         if view is not None and hint.agent in view.live and _is_fresh(now, hint):
             self._owners.move_to_end(flow)
             return hint.agent
@@ -179,13 +193,14 @@
     def _route_opening(
         self, now: float, service: Service, caller: Address, key: bytes
     ) -> Address | Code:
-        view = self._views_by_service.get(service.name)
+        view = self._view(service.name)
         if view is None:
             return Code.NO_AGENT
         name = view.suspensions.choose(now, key)
         if name is None:
             return self._fallback(view, key)
         view.suspensions.opened(now, name, caller)
+        self._waiting_by_service[service.name] = view.suspensions
         return view.address_by_name[name]
 
     def _fallback(self, view: ServiceView, key: bytes) -> Address | Code:
@@ -211,10 +226,12 @@
 
     def _tick(self, now: float) -> list[EntryEffect]:
         effects: list[EntryEffect] = []
-        for name, view in self._views_by_service.items():
-            for agent in view.suspensions.expire(now):
+        for name, suspensions in list(self._waiting_by_service.items()):
+            for agent in suspensions.expire(now):
                 effects.append(Count("entry.suspended"))
                 effects.append(_log("agent-suspended", name, agent))
+            if not suspensions.waiting:
+                del self._waiting_by_service[name]
         return effects
 
     def _configure(self, configuration: Configuration) -> list[EntryEffect]:
@@ -222,29 +239,50 @@
         # old generation would silently undo an accepted change.
         if configuration.generation <= self.generation:
             return [Count("entry.configuration_ignored")]
+        before = self._configuration.services_by_name if self._configuration else {}
         self._configuration = configuration
         self._connection_ids = ConnectionIds(
             configuration.flow_keys_by_number, configuration.flow_key, self._rng
         )
-        for view in self._views_by_service.values():
-            if view.roster is not None:
+        for name, view in self._views_by_service.items():
+            if before.get(name) != configuration.services_by_name.get(name):
                 self._refresh(view, view.roster)
         fields = (("generation", configuration.generation),)
         return [Log("configuration-in-force", fields)]
 
     def _replace_roster(self, roster: Roster) -> list[EntryEffect]:
         view = self._views_by_service.get(roster.service)
+        if view is None and self._find_roster is not None:
+            return []
         if view is None:
-            view = ServiceView(Suspensions(self._rng))
-            self._views_by_service[roster.service] = view
-        if view.roster is not None and roster.revision <= view.roster.revision:
+            self._add_view(roster)
+        elif roster.revision <= view.roster.revision:
             return [Count("entry.roster_ignored")]
-        self._refresh(view, roster)
+        else:
+            self._refresh(view, roster)
         fields = (("service", roster.service), ("revision", roster.revision))
         return [Log("roster-learned", fields)]
 
+    def _view(self, service: str) -> ServiceView | None:
+        view = self._views_by_service.get(service)
+        if view is not None:
+            self._views_by_service.move_to_end(service)
+            return view
+        roster = self._find_roster(service) if self._find_roster else None
+        if roster is None:
+            return None
+        if len(self._views_by_service) >= VIEWS_LIMIT:
+            self._views_by_service.popitem(last=False)
+        return self._add_view(roster)
+
+    def _add_view(self, roster: Roster) -> ServiceView:
+        view = ServiceView(Suspensions(self._rng), roster)
+        self._views_by_service[roster.service] = view
+        self._refresh(view, roster)
+        return view
+
     def _refresh(self, view: ServiceView, roster: Roster) -> None:
-        former = view.roster.by_name if view.roster else {}
+        former = view.roster.by_name
         members = roster.by_name.values()
         live = [member for member in members if member.state is not AgentState.DOWN]
         restarted = [
--- a/packages/zinniahook-core/src/zinniahook_core/suspensions.py
+++ b/packages/zinniahook-core/src/zinniahook_core/suspensions.py
@@ -62,6 +62,11 @@
             name for name in self._names if self._standings_by_name[name].suspended
         )
 
+    @property
+    def waiting(self) -> bool:
+        """Whether an opening waits for its answer."""
+        return bool(self._pending_by_caller)
+
     def replace(self, names: Sequence[str], restarted: Iterable[str] = ()) -> None:
         """Set the agents that may get new flows.
 
--- a/packages/zinniahook-core/tests/test_routing.py
+++ b/packages/zinniahook-core/tests/test_routing.py
@@ -260,6 +260,65 @@
             assert routed == member(TALLY, 1).tunnel
 
 
+class TestViews:
+    """An entry holds only the services that lately got openings."""
+
+    def services(self, count):
+        return [
+            Service(f"s{n}", n, Address(f"10.3.{n >> 8}.{n & 255}", 443))
+            for n in range(1, count + 1)
+        ]
+
+    def test_held_ones_are_bounded_and_others_found_again(self, monkeypatch):
+        """Memory that grows with services and members.
+
+        Symptom: an entry before thousands of services takes three times the
+        memory it may. Sequence: each roster is told once and kept unpacked.
+        Cause: nothing was ever given up, though few services get openings.
+        """
+        monkeypatch.setattr("zinniahook_core.entries.VIEWS_LIMIT", 8)
+        services = self.services(40)
+        rosters = {s.name: roster(s, 1, [member(s, 1)]) for s in services}
+        core = EntryCore(random.Random(1), rosters.get)
+        core.handle(0.0, ConfigurationChanged(configuration(1, services)))
+        for _ in range(2):
+            for service in services:
+                agent = core.route(0.0, service, CALLER, initial(b"12345678"))
+                assert agent == member(service, 1).tunnel
+                assert len(core._views_by_service) <= 8
+
+    def test_a_change_is_found_whether_held_or_not(self):
+        services = self.services(2)
+        held, other = services
+        rosters = {s.name: roster(s, 1, [member(s, 1)]) for s in services}
+        core = EntryCore(random.Random(1), rosters.get)
+        core.handle(0.0, ConfigurationChanged(configuration(1, services)))
+        core.route(0.0, held, CALLER, initial(b"12345678"))
+        for service in services:
+            rosters[service.name] = roster(service, 2, [member(service, 2)])
+            core.handle(1.0, RosterChanged(rosters[service.name]))
+            agent = core.route(1.0, service, CALLER, initial(b"12345678"))
+            assert agent == member(service, 2).tunnel
+        assert other.name in core._views_by_service
+
+    def test_new_rules_of_a_service_reach_a_held_view(self):
+        services = self.services(2)
+        rosters = {s.name: roster(s, 1, [member(s, 1)]) for s in services}
+        core = EntryCore(random.Random(1), rosters.get)
+        core.handle(0.0, ConfigurationChanged(configuration(1, services)))
+        for service in services:
+            core.route(0.0, service, CALLER, initial(b"12345678"))
+        ruled = services[0]._replace(targets=("nobody",))
+        changed = configuration(2, [ruled, services[1]])
+        core.handle(1.0, ConfigurationChanged(changed))
+        first, second = (
+            core.route(1.0, service, CALLER, initial(b"12345678"))
+            for service in (ruled, services[1])
+        )
+        assert first is Code.NO_AGENT
+        assert second == member(services[1], 1).tunnel
+
+
 class TestOwnersHint:
     def test_an_answer_is_remembered_until_its_agent_is_down(self):
         members = [member(FEED, index) for index in range(4)]
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/control.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/control.py
@@ -187,8 +187,8 @@
         if request.counters:
             self._add_counters(reply)
         if request.rosters:
-            for service, roster in distribution.rosters_by_service.items():
-                reply.revisions_by_service[service] = roster.revision
+            for service, revision in distribution.rosters.revisions_by_service.items():
+                reply.revisions_by_service[service] = revision
         return reply
 
     def _add_counters(self, reply: StatusReply) -> None:
@@ -248,7 +248,7 @@
         settings = self._node.settings
         if settings.role is not Role.AGENT or settings.agent is None:
             return False
-        roster = self._node.distribution.rosters_by_service.get(settings.agent.service)
+        roster = self._node.distribution.rosters.get(settings.agent.service)
         members = roster.by_name.values() if roster else ()
         return not any(
             member.state is AgentState.READY and member.name != settings.name
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
@@ -9,9 +9,7 @@
 
 import asyncio
 import ssl
-import sys
 import time
-import zlib
 from typing import TYPE_CHECKING
 
 from grpclib.server import Stream
@@ -21,11 +19,11 @@
 from zinniahook_core.models import Configuration, Roster
 from zinniahook_wire import documents
 from zinniahook_wire.control_pb2 import SubscribeRequest, Update
-from zinniahook_wire.tunnels import NO_ADDRESS
 
 from .generations import Generations
 from .learning import TOLERANCE, Learner
 from .origin import Origin
+from .rosters import Rosters
 from .settings import Role
 from .subscriptions import Subscription
 
@@ -50,9 +48,8 @@
     ----------
     configuration : Configuration or None
         The generation in force here.
-    rosters_by_service : dict of str to Roster
-        The newest roster known of each service that matters here. At an
-        entry its members have no control and target address.
+    rosters : Rosters
+        The newest roster known of each service that matters here.
     generations : Generations
         The values that the configuration was made from.
     learned : asyncio.Event
@@ -72,7 +69,7 @@
         self._node = node
         self.name = settings.name
         self.configuration: Configuration | None = None
-        self.rosters_by_service: dict[str, Roster] = {}
+        self.rosters = Rosters()
         self.generations = Generations(settings.name, settings.data_centre, services)
         self.learned = asyncio.Event()
         self.suspicion = asyncio.Event()
@@ -82,7 +79,6 @@
         self._heard_at = -float("inf")
         self._in_force_at = 0.0
         self._suspected_at = -float("inf")
-        self._values_by_service: dict[str, bytes] = {}
         # Each subscriber asks once a second, and thousands of revisions take
         # milliseconds.
         self._digests_by_services: dict[frozenset[str] | None, bytes] = {}
@@ -137,8 +133,8 @@
         if found is None:
             found = documents.revisions_digest(
                 {
-                    name: roster.revision
-                    for name, roster in self.rosters_by_service.items()
+                    name: revision
+                    for name, revision in self.rosters.revisions_by_service.items()
                     if services is None or name in services
                 }
             )
@@ -199,27 +195,13 @@
             As stored; empty if it isn't at hand or was deleted.
         """
         service = roster.service
-        known = self.rosters_by_service.get(service)
-        if not self.wants(service) or (
-            known is not None and known.revision >= roster.revision
-        ):
+        if not self.wants(service) or not self.rosters.put(roster, value):
             return
-        if self.generations.services is None:
-            self._values_by_service[service] = zlib.compress(value)
-            roster = _routable(roster)
-        self.rosters_by_service[service] = roster
         self._digests_by_services.clear()
         self._node.roster_changed(roster)
         for subscription in self._subscriptions:
             subscription.roster_changed(service)
 
-    def roster_value(self, service: str) -> bytes:
-        """Return a known roster as stored; empty if it was deleted."""
-        if self.generations.services is None:
-            return zlib.decompress(self._values_by_service[service])
-        roster = self.rosters_by_service[service]
-        return documents.roster_to_json(roster) if roster.by_name else b""
-
     def unusable(self, what: str, error: ZinniahookError) -> None:
         """Note a stored value that couldn't be read."""
         self._node.count("distribution.unusable", code=error.code.name)
@@ -286,21 +268,3 @@
         if roster.revision:
             self.take_roster(roster)
         return roster
-
-
-def _routable(roster: Roster) -> Roster:
-    """Return a roster with what routing needs, in little memory.
-
-    An entry holds tens of thousands of members; whole ones would take twice
-    the memory. What is left out stays in the stored value.
-    """
-    return roster._replace(
-        by_name={
-            name: member._replace(
-                control=NO_ADDRESS,
-                target=NO_ADDRESS,
-                data_centre=sys.intern(member.data_centre),
-            )
-            for name, member in roster.by_name.items()
-        }
-    )
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
@@ -28,6 +28,7 @@
     make_address,
 )
 
+from .control import StatusFields
 from .node import Node
 from .sockets import UdpSocket
 
@@ -92,7 +93,7 @@
 
     def __init__(self, node: Node) -> None:
         self._node = node
-        self._core = EntryCore(random.Random())
+        self._core = EntryCore(random.Random(), node.roster)
         self._counters = node.metrics.counters_by_name
         self._sockets_by_number: dict[int, ServiceSocket] = {}
         self._refused: set[int] = set()
@@ -252,14 +253,14 @@
             elif isinstance(effect, Log):
                 self._node.log(effect.event, **dict(effect.fields))
 
-    def _status(self) -> dict[str, Any]:
+    def _status(self) -> StatusFields:
         """Return what `Control.Status` adds for an entry."""
-        return {
-            "services": self.addresses(),
-            "not_bound": len(self._refused),
-            "suspended_by_service": {
-                each.service.name: list(suspended)
-                for each in self._sockets_by_number.values()
-                if (suspended := self._core.suspended(each.service.name))
-            },
-        }
+        reasons = []
+        if self._refused:
+            reasons.append(f"{len(self._refused)} service addresses not bound")
+        for socket in self._sockets_by_number.values():
+            name = socket.service.name
+            if suspended := self._core.suspended(name):
+                names = ", ".join(suspended)
+                reasons.append(f"no new flows of {name} go to {names}")
+        return StatusFields(reason="; ".join(reasons)) if reasons else StatusFields()
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
@@ -189,10 +189,12 @@
             callback(self.configuration)
 
     def on_roster(self, callback: RosterCallback) -> None:
-        """Call back with each new roster, and now with those known."""
+        """Call back with each new roster; see `roster` for those known."""
         self._roster_callbacks.append(callback)
-        for roster in list(self.distribution.rosters_by_service.values()):
-            callback(roster)
+
+    def roster(self, service: str) -> Roster | None:
+        """Return the newest roster known of a service, if any."""
+        return self.distribution.rosters.get(service)
 
     def configuration_changed(self, configuration: Configuration) -> None:
         """Put a new configuration in force (called by the distribution)."""
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
@@ -131,8 +131,7 @@
         distribution = self._distribution
         services = distribution.generations.services
         revisions_by_service = dict.fromkeys(services or (), 0)
-        for name, roster in distribution.rosters_by_service.items():
-            revisions_by_service[name] = roster.revision
+        revisions_by_service.update(distribution.rosters.revisions_by_service)
         return SubscribeRequest(
             subscriber=distribution.control,
             generation=distribution.generations.pointer.generation,
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/subscriptions.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/subscriptions.py
@@ -94,7 +94,7 @@
         GRPCError
             If this daemon doesn't hold what the subscriber wants.
         """
-        known = self._distribution.rosters_by_service
+        known = self._distribution.rosters.revisions_by_service
         self._changed_services.update(filter(self._wants, known))
         while not self._closing:
             self._changed.clear()
@@ -172,16 +172,15 @@
     async def _send_rosters(self) -> None:
         while self._changed_services:
             service = self._changed_services.pop()
-            roster = self._distribution.rosters_by_service[service]
-            if roster.revision <= self._revisions_by_service.get(service, 0):
+            rosters = self._distribution.rosters
+            revision = rosters.revision(service)
+            if revision <= self._revisions_by_service.get(service, 0):
                 continue
             update = RosterUpdate(
-                service=service,
-                revision=roster.revision,
-                value=self._distribution.roster_value(service),
+                service=service, revision=revision, value=rosters.value(service)
             )
             await self._send(Update(roster=update))
-            self._revisions_by_service[service] = roster.revision
+            self._revisions_by_service[service] = revision
 
     def _digest(self) -> Digest:
         distribution = self._distribution
--- a/packages/zinniahook-daemon/tests/test_distribution.py
+++ b/packages/zinniahook-daemon/tests/test_distribution.py
@@ -53,10 +53,12 @@
                     assert child.generation == 3
                     assert child.configuration == parent.configuration
                     # Ready with the rosters, or new flows would be dropped.
-                    assert (
-                        child.distribution.rosters_by_service
-                        == parent.distribution.rosters_by_service
+                    known, told = (
+                        child.distribution.rosters,
+                        parent.distribution.rosters,
                     )
+                    assert known.revisions_by_service == told.revisions_by_service
+                    assert known.get("tally") == told.get("tally")
                     await eventually(lambda: child.distribution.depth == 1)
 
         asyncio.run(run())
@@ -85,9 +87,13 @@
                 take(parent, roster("tally", 5, "a"))
                 start = nodes.start("a", parent.control_address, service="tally")
                 async with start as agent:
-                    await eventually(lambda: agent.distribution.rosters_by_service)
+                    await eventually(
+                        lambda: agent.distribution.rosters.revisions_by_service
+                    )
                     assert set(agent.configuration.services_by_name) == {"tally"}
-                    assert set(agent.distribution.rosters_by_service) == {"tally"}
+                    assert set(agent.distribution.rosters.revisions_by_service) == {
+                        "tally"
+                    }
 
         asyncio.run(run())
 
@@ -187,7 +193,7 @@
             async with nodes.start("node") as node:
                 take(node, roster("tally", 5, "a"))
                 take(node, roster("tally", 4, "b"))
-                known = node.distribution.rosters_by_service["tally"]
+                known = node.distribution.rosters.get("tally")
                 assert set(known.by_name) == {"a"}
 
         asyncio.run(run())
@@ -339,6 +345,17 @@
 
         asyncio.run(run())
 
+    def test_an_entry_stops_when_drained(self, nodes):
+        async def run():
+            async with nodes.start("entry-1") as node:
+                nodes.commit(node, 1, TALLY)
+                reply = await call(node, "Drain", DrainRequest(look=True))
+                assert (reply.state, node.stopping.is_set()) == ("serving", False)
+                reply = await call(node, "Drain", DrainRequest())
+                assert (reply.state, node.stopping.is_set()) == ("stopping", True)
+
+        asyncio.run(run())
+
     def test_not_ready_says_why(self, nodes):
         async def run():
             async with nodes.start("entry-1") as node:
@@ -379,7 +396,7 @@
     """Wait until both hold the same rosters."""
     async with asyncio.timeout(20):
         while (
-            child.distribution.rosters_by_service
-            != parent.distribution.rosters_by_service
+            child.distribution.rosters.revisions_by_service
+            != parent.distribution.rosters.revisions_by_service
         ):
             await asyncio.sleep(0.01)
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/slopes.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/slopes.py
@@ -39,6 +39,7 @@
     Service,
 )
 from zinniahook_core.routing import ConnectionIds, Owner
+from zinniahook_daemon.rosters import Rosters
 from zinniahook_wire import peers
 from zinniahook_wire.tunnels import Tunnel, TunnelDatagram, TunnelKind
 
@@ -50,6 +51,9 @@
 TICKS_PER_SECOND = 10
 NOWHERE = Address("0.0.0.0", 0)
 SECRET = b"k" * 32
+CLASSES_BY_NAME = {
+    kind: RequestClass(kind, f"/{kind}") for kind in ("stream", "ticket", "export")
+}
 
 
 class AgentCost(NamedTuple):
@@ -90,11 +94,7 @@
     for number in range(1, services + 1):
         name = f"service-{number}"
         address = Address(f"10.200.{number >> 8}.{number & 255}", 443)
-        classes = {
-            kind: RequestClass(kind, f"/{kind}")
-            for kind in ("stream", "ticket", "export")
-        }
-        by_name[name] = Service(name, number, address, protocol, classes)
+        by_name[name] = Service(name, number, address, protocol, CLASSES_BY_NAME)
     key = Key(1, SECRET)
     return Configuration(generation, by_name, {1: key}, {1: key}, 1, 1)
 
@@ -181,11 +181,15 @@
 
 
 def _entry(services: int, members_each: int) -> EntryCore:
-    core = EntryCore(random.Random(1))
+    """Make an entry's core as the daemon drives it, all services in use."""
+    rosters = Rosters()
+    core = EntryCore(random.Random(1), rosters.get)
     core.handle(0.0, ConfigurationChanged(configuration(services)))
     for number in range(1, services + 1):
         value = roster(f"service-{number}", members_each, number * members_each)
+        rosters.put(value)
         core.handle(0.0, RosterChanged(value))
+        core.roster(value.service)
     return core
 
 
@@ -216,6 +220,49 @@
     ]
 
 
+@scenario("entry-control")
+def measure_entry_control(
+    service_counts: Sequence[int], members_each: int, repeat: int = 20
+) -> list[Figure]:
+    """Fit an entry's processor time for changes and ticks against services."""
+    costs = [_entry_costs(count, members_each, repeat) for count in service_counts]
+    figures = []
+    for index, name in enumerate(("tick", "configuration", "roster")):
+        values = [cost[index] * 1e6 for cost in costs]
+        slope, _ = _slope(service_counts, values)
+        figures.append(Figure(f"{name} per service", slope, "µs"))
+        figures.append(Figure(f"{name} at {service_counts[-1]}", values[-1], "µs"))
+    return figures
+
+
+def _entry_costs(
+    services: int, members_each: int, repeat: int
+) -> tuple[float, float, float]:
+    """Seconds for a tick, a generation that changes one service, a roster."""
+    core = _entry(services, members_each)
+    current = configuration(services)
+    changed = current.services_by_name["service-1"]
+    started = time.process_time()
+    for _ in range(repeat):
+        core.handle(1.0, Tick())
+    ticked = time.process_time()
+    for number in range(2, 2 + repeat):
+        by_name = dict(current.services_by_name)
+        by_name["service-1"] = changed._replace(drain=float(number))
+        event = current._replace(generation=number, services_by_name=by_name)
+        core.handle(1.0, ConfigurationChanged(event))
+    configured = time.process_time()
+    for revision in range(2, 2 + repeat):
+        value = roster("service-1", members_each, revision=revision)
+        core.handle(1.0, RosterChanged(value))
+    learned = time.process_time()
+    return (
+        (ticked - started) / repeat,
+        (configured - ticked) / repeat,
+        (learned - configured) / repeat,
+    )
+
+
 def _flow_growth(count: int, seed: int) -> int:
     """Bytes that an entry keeps after routing a packet of ``count`` flows."""
     core = _entry(1, 8)
