Split the custody of records off the claims

Change: what keeps two holders for each record has a module of its own; a declaration is made once a roster. No change of decisions; no measurement.

--- a/packages/zinniahook-core/src/zinniahook_core/claims.py
+++ b/packages/zinniahook-core/src/zinniahook_core/claims.py
@@ -8,16 +8,14 @@
 from __future__ import annotations
 
 import itertools
-import math
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any, NamedTuple
 
 from .arbiters import Arbiter, tell
 from .codes import Code
-from .effects import AgentEffect, Count, SendPeer
-from .handovers import Handover
+from .custody import Custody
+from .effects import AgentEffect, SendPeer
 from .lookups import REPEAT_AFTER
 from .messages import (
     ClaimAnswer,
@@ -28,7 +26,7 @@
     ClaimState,
 )
 from .models import Roster
-from .records import KEY_LIFETIME, SMALL_ANSWER, Record, Records, granted, refused
+from .records import Record, Records, granted, refused
 from .views import View
 
 __all__ = ["Claims", "Settled"]
@@ -36,8 +34,6 @@
 GRANT_LIFETIME = 2.0
 """A grant older than this, counted from its ask, may have been taken over."""
 
-ANNOUNCE_AGAIN = 1.0
-DECLARE_INTERVAL = 1.0
 PARTNER_TRIES = 3
 
 Handler = Callable[[Any, float, str, Any], None]
@@ -85,16 +81,6 @@
     tries: int = 0
 
 
-@dataclass(slots=True)
-class Declaration:
-    """What the others are being told: nothing is held by this agent alone."""
-
-    number: int
-    revision: int
-    sent_at: float = -math.inf
-    acknowledged: set[str] = field(default_factory=set)
-
-
 class Claims:
     """The claims of one agent: as asker, as runner, as owner and as holder.
 
@@ -111,22 +97,17 @@
         self._settled: list[Settled] = []
         self._asks_by_request: dict[int, Ask] = {}
         self._asks_by_number: dict[int, Ask] = {}
-        self._announcements: deque[tuple[float, bytes]] = deque()
-        self._handover: Handover | None = None
-        self._declared: Declaration | None = None
-        self._leaving = False
-        self._remembers = 0
         self._confirmed = False
         self.view = View(name)
         self.records = Records()
-        self._arbiter = Arbiter(
-            self.view, self.records, self._effects, self._next_number
-        )
+        parts = (self.view, self.records, self._effects, self._next_number)
+        self._arbiter = Arbiter(*parts)
+        self._custody = Custody(*parts)
 
     @property
     def handed_over(self) -> bool:
         """Whether, after ``leave``, others hold all that is held here."""
-        return self._leaving and (self._handover is None or self._handover.done)
+        return self._custody.leaving and self._custody.handed_over
 
     def take(self) -> tuple[list[AgentEffect], list[Settled]]:
         """Return the effects and settled asks since the last call."""
@@ -180,13 +161,11 @@
 
     def finished(self, now: float, key: bytes, answer: bytes) -> None:
         """Keep the answer of what ran here and tell the other holders."""
-        self._end(now, key, ClaimState.FINISHED, answer)
-        self._announce(now, key)
-        self._announcements.append((now + ANNOUNCE_AGAIN, key))
+        self._custody.finished(now, key, answer)
 
     def failed(self, now: float, key: bytes) -> None:
         """Note that nobody can tell what became of what ran here."""
-        self._end(now, key, ClaimState.UNKNOWN, b"")
+        self._custody.failed(now, key)
 
     def unstarted(self, now: float, key: bytes) -> None:
         """Note that the target never saw what was granted to this agent."""
@@ -200,8 +179,8 @@
         To be called again once the roster shows that this agent leaves: until
         then it may still have granted claims as their owner.
         """
-        self._leaving = True
-        self._hand_over()
+        self._custody.leaving = True
+        self._custody.hand_over()
 
     def confirm(self, now: float, incarnation: int) -> None:
         """Take part: the roster holds this very process under ``incarnation``.
@@ -213,9 +192,9 @@
         if self._confirmed:
             return
         self._confirmed = True
-        self._remembers = self._remembers or incarnation
+        self._custody.remembers = self._custody.remembers or incarnation
         self.view.incarnation = incarnation
-        self._hand_over()
+        self._custody.hand_over()
         for ask in list(self._asks_by_request.values()):
             self._ask_anew(now, ask)
 
@@ -240,7 +219,7 @@
         if not self.view.learn(now, roster):
             return
         self._arbiter.reset()
-        self._hand_over()
+        self._custody.hand_over()
         for ask in list(self._asks_by_request.values()):
             self._ask_anew(now, ask)
 
@@ -265,11 +244,7 @@
             return
         for asker, told in self._arbiter.tick(now):
             self._reply(now, asker, told)
-        while self._announcements and self._announcements[0][0] <= now:
-            self._announce(now, self._announcements.popleft()[1])
-        if self._handover is not None:
-            self._effects += self._handover.send(now)
-        self._declare(now)
+        self._custody.tick(now)
 
     # As asker and runner
 
@@ -420,30 +395,6 @@
         self.forget(ask.request)
         self._settled.append(settled)
 
-    def _end(self, now: float, key: bytes, state: ClaimState, answer: bytes) -> None:
-        record = self.records.get(now, key)
-        attempt = record.attempt if record else 0
-        incarnation = record.incarnation if record else self.view.incarnation
-        until = now + KEY_LIFETIME
-        ended = Record(state, self._name, incarnation, attempt, now, until, answer)
-        if record is not None:
-            ended.other = record.other
-            ended.other_incarnation = record.other_incarnation
-        self.records.put(now, key, ended)
-
-    def _announce(self, now: float, key: bytes) -> None:
-        record = self.records.get(now, key)
-        if record is None or record.state is not ClaimState.FINISHED:
-            return
-        answer = record.answer if len(record.answer) <= SMALL_ANSWER else b""
-        message = ClaimFinished(key, self._name, record.incarnation, True, answer)
-        holders = self.view.partners(key)
-        if self.view.owner(key) == self._name or self._leaving:
-            holders = holders[:2]
-        else:
-            holders = holders[:1]
-        self._effects += [SendPeer(name, message) for name in holders]
-
     # As owner
 
     @_receives(ClaimAsk)
@@ -472,59 +423,16 @@
 
     @_receives(ClaimFinished)
     def _told_finished(self, now: float, sender: str, message: ClaimFinished) -> None:
-        if message.runner != sender or not message.started:
-            return
-        record = Record(
-            ClaimState.FINISHED,
-            sender,
-            message.incarnation,
-            0,
-            now,
-            now + KEY_LIFETIME,
-            message.answer,
-        )
-        told = record.message(now, message.key)
-        self.records.absorb(now, told, sender, message.incarnation)
+        self._custody.told_finished(now, sender, message)
 
     @_receives(ClaimRecords)
     def _told_records(self, now: float, sender: str, message: ClaimRecords) -> None:
-        if not message.acknowledge:
+        if message.acknowledge:
+            self._custody.told_records(now, sender, message)
+        elif not self._custody.acknowledged(now, sender, message.number):
             self._acknowledged(now, sender, message.number)
-            return
-        if not self.view.valid(sender, message.incarnation):
-            return
-        if not message.records:
-            if message.remembers:
-                self.view.remember(sender, message.remembers)
-            self.view.declare(sender, message.revision)
-        elif not self._take_records(now, sender, message):
-            return
-        reply = ClaimRecords(self._name, self.view.incarnation, message.number, ())
-        self._effects.append(SendPeer(sender, reply))
-
-    def _take_records(self, now: float, sender: str, message: ClaimRecords) -> bool:
-        """Hold a peer's records; False if they must not count as held."""
-        if 0 < message.revision < self.view.revision:
-            # Ownership may have moved since, and this agent may have told the
-            # new owner that it knows of no claim.
-            self._count("claims.view_stale")
-            return False
-        taken = [
-            self.records.absorb(now, record, sender, message.incarnation)
-            for record in message.records
-        ]
-        if message.revision and not all(taken):
-            self._count("claims.contradictions")
-            return False
-        return True
 
     def _acknowledged(self, now: float, sender: str, number: int) -> None:
-        if self._declared is not None and number == self._declared.number:
-            self._declared.acknowledged.add(sender)
-            return
-        handover = self._handover
-        if handover is not None and handover.acknowledged(now, sender, number):
-            return
         ask = self._asks_by_number.get(number)
         if ask is None or ask.partner != sender:
             return
@@ -539,52 +447,10 @@
         record.other_incarnation = self.view.incarnation_of(sender)
         self._conclude(now, ask)
 
-    # Keeping two holders for each record
-
-    def _hand_over(self) -> None:
-        holders = 2 if self._leaving else 1
-        self._handover = Handover(self.view, self.records, self._next_number, holders)
-
-    def _declare(self, now: float) -> None:
-        """Tell the others once a handover is complete.
-
-        They may then disregard the losses that it made good.
-        """
-        handover = self._handover
-        if handover is not None and handover.done and handover.has_takers:
-            if self._remembers:
-                self.view.remember(self._name, self._remembers)
-            self.view.declare(self._name, handover.revision)
-            number = self._next_number()
-            self._declared = Declaration(number, handover.revision)
-            if not self._leaving:
-                self._handover = None
-        declared = self._declared
-        if declared is None or now - declared.sent_at < DECLARE_INTERVAL:
-            return
-        declared.sent_at = now
-        message = ClaimRecords(
-            self._name,
-            self.view.incarnation,
-            declared.number,
-            (),
-            acknowledge=True,
-            revision=declared.revision,
-            remembers=self._remembers,
-        )
-        self._effects += [
-            SendPeer(name, message)
-            for name in self.view.live
-            if name not in declared.acknowledged
-        ]
-
     def _next_number(self) -> int:
         # Numbers of an earlier life must not match: its answers may be late.
         return (self.view.incarnation & 0xFFFFFFFF) << 32 | next(self._numbers)
 
-    def _count(self, name: str) -> None:
-        self._effects.append(Count(name))
-
 
 def _forbids(record: Record, ask: Ask, name: str) -> bool:
     """Tell whether the asker's own record forbids what an owner allowed.
