Refuse a head that would become another request at the target

HTTP/3 carries method and path apart; written into HTTP/1.1's one line, a space in them makes a second request line that was never admitted. Such a stream is reset with H3_MESSAGE_ERROR.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/http3.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/http3.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Callable
 from typing import Protocol
 
@@ -44,6 +45,9 @@
 LAST_STREAM = (1 << 62) - 4
 """Largest id of a request stream: a GOAWAY that rejects nothing yet."""
 
+METHOD = re.compile(r"[A-Z]{1,32}")
+PATH = re.compile(r"/[!-~]*|\*")
+
 PSEUDO_HEADERS = frozenset({b":method", b":path", b":scheme", b":authority"})
 
 
@@ -269,7 +273,8 @@
             return
         if stream_is_request_response(stream_id):
             if stream_id >= self._rejected_from:
-                self._reject(stream_id)
+                self._owner.refused(Code.LEAVING)
+                self._abort(stream_id, ErrorCode.H3_REQUEST_REJECTED)
                 return
             self._next_stream = max(self._next_stream, stream_id + 4)
         for http_event in self._http.handle_event(event):
@@ -304,6 +309,10 @@
             values.get(b":path", b"").decode("latin-1"),
             headers,
         )
+        if not _is_sound(head):
+            self._abort(event.stream_id, ErrorCode.H3_MESSAGE_ERROR)
+            self._owner.refused(Code.DATAGRAM_MALFORMED)
+            return
         kind = self._owner.classify(head.path)
         code = _fault(head)
         if code is not None:
@@ -352,10 +361,10 @@
         self._ignore(stream_id, ErrorCode.H3_NO_ERROR)
         self._touch(self.connection)
 
-    def _reject(self, stream_id: int) -> None:
-        self._owner.refused(Code.LEAVING)
-        self.connection.reset_stream(stream_id, ErrorCode.H3_REQUEST_REJECTED)
-        self._ignore(stream_id, ErrorCode.H3_REQUEST_REJECTED)
+    def _abort(self, stream_id: int, error_code: int) -> None:
+        """Take a request back out of the connection, without an answer."""
+        self.connection.reset_stream(stream_id, error_code)
+        self._ignore(stream_id, error_code)
         self._touch(self.connection)
 
     def _ignore(self, stream_id: int, error_code: int) -> None:
@@ -365,6 +374,16 @@
             self._deaf.add(stream_id)
 
 
+def _is_sound(head: Head) -> bool:
+    """Tell whether a head stays one HTTP/1.1 request at the target.
+
+    HTTP/3 carries method and path apart from each other. Written into one
+    line, a space in them would make the target read another request than
+    the one that was classed and admitted here.
+    """
+    return bool(METHOD.fullmatch(head.method) and PATH.fullmatch(head.path))
+
+
 def _fault(head: Head) -> Code | None:
     """Return why a request is refused for its form, if it is."""
     if len(head.get(b"idempotency-key")) > KEY_LENGTH:
