core: take a new path to lose some heartbeats until it has shown

Symptom: an agent is marked down within seconds of its start. Sequence: at 10 % loss five heartbeats in a row get lost before the estimate has settled. Cause: a new path was taken to lose nothing. Change: 5 % is assumed at first.

--- a/packages/zinniahook-core/src/zinniahook_core/liveness.py
+++ b/packages/zinniahook-core/src/zinniahook_core/liveness.py
@@ -27,6 +27,8 @@
 FALSE_MARK = 1e-9
 """How likely a run of lost heartbeats may be before it counts as a death."""
 LOSS_WEIGHT = 0.02
+LOSS_PRIOR = 0.05
+"""What is taken for the loss of a path before its heartbeats tell."""
 MARKER_STEP = 1.5
 """How long each next marker in rank waits for the one before it."""
 ALONE_FACTOR = 3.0
@@ -46,7 +48,7 @@
     sequence: int = -1
     load: Load | None = None
     leaving: bool = False
-    loss: float = 0.0
+    loss: float = LOSS_PRIOR
 
     def take(self, now: float, heartbeat: Heartbeat) -> None:
         """Take a heartbeat that is newer than the last."""
@@ -66,8 +68,6 @@
         five lost ones are common, and each would cut the flows of an agent
         that is alive. One notices the loss by gaps in the sequence.
         """
-        if self.loss <= 0.0:
-            return MARK_DOWN_AFTER
         run = math.log(FALSE_MARK) / math.log(self.loss)
         return min(LONGEST_SILENCE, max(MARK_DOWN_AFTER, run * HEARTBEAT_INTERVAL))
 
