--- a/tests/test_agent_path.py
+++ b/tests/test_agent_path.py
@@ -85,6 +85,7 @@
         self.authority = Authority(folder)
         self.files = self.authority.issue("daemon")
         self.members: list[Member] = []
+        self.entries: list[processes.Process] = []
         self.stack = contextlib.ExitStack()
         self.store = self.stack.enter_context(stores.start())
         self.fabric = self.start(
@@ -176,8 +177,7 @@
 def deployment(tmp_path: Path) -> Iterator[Deployment]:
     deployment = Deployment(tmp_path)
     with deployment.stack:
-        for number in range(3):
-            deployment.entry(number)
+        deployment.entries = [deployment.entry(number) for number in range(3)]
         yield deployment
 
 
@@ -467,6 +467,42 @@
         asyncio.run(main())
 
 
+class TestSilence:
+    def test_answers_leave_an_entry_that_loses_them(self, deployment: Deployment):
+        """An entry takes datagrams and sends none; the fabric doesn't notice.
+
+        Symptom: feeds stop for good though their callers are heard.
+        Sequence: feeds are open, one entry of three is stopped, the fabric
+        goes on spraying to it. Cause: an agent answers by way of the entry
+        that it heard last, and nothing tells it that this one is mute.
+        """
+        member = deployment.member("tally-0")
+        path = "/tally/feed?every=0.1&count=60"
+
+        async def feed(session: Session, begun: asyncio.Event) -> list[int]:
+            numbers = []
+            async with session.stream("GET", path, deadline=20) as answer:
+                async for line in answer.iter_lines():
+                    numbers.append(json.loads(line)["n"])
+                    begun.set()
+            return numbers
+
+        async def scenario() -> None:
+            async with contextlib.AsyncExitStack() as stack:
+                feeds = []
+                for _ in range(8):
+                    session = await stack.enter_async_context(deployment.session())
+                    begun = asyncio.Event()
+                    feeds.append(asyncio.ensure_future(feed(session, begun)))
+                    await begun.wait()
+                deployment.entries[0].pause()
+                numbers = await asyncio.gather(*feeds)
+                assert numbers == [list(range(1, 61))] * 8
+            assert member.ledger()["counts"]["finished_feed"] == 8
+
+        asyncio.run(scenario())
+
+
 class TestPlainUdp:
     def test_a_flow_stays_at_its_target(self, deployment: Deployment):
         for number in range(2):
