Close a leaving agent's connection only once its answers are acknowledged

Symptom: a ledger cut off with "connection closed: leaving". Sequence: a target drains, the last bytes of an answer are handed to QUIC, the exchange counts as done, the idle connection is closed. Cause: up to 256 KB were still unacknowledged. Change: a connection with an unacknowledged answer isn't idle.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/quic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/quic.py
@@ -250,6 +250,21 @@
         stream = self._streams.get(stream_id)
         return len(stream.sender._buffer) if stream else 0
 
+    @property
+    def unacknowledged(self) -> bool:
+        """Whether the caller may still lack a part of some answer.
+
+        What goes wrong: an exchange has ended here while its last bytes are
+        on their way, and a close by a leaving agent cuts them off. The caller
+        notices a closed connection in the middle of its answer. Streams whose
+        number is a multiple of four carry requests.
+        """
+        return any(
+            stream.sender.highest_offset > 0 and not stream.sender.is_finished
+            for number, stream in self._streams.items()
+            if number % 4 == 0
+        )
+
     def stop_receiving(self, stream_id: int, error_code: int) -> bool:
         """Ask the caller to send no more; False if it has sent everything."""
         stream = self._streams.get(stream_id)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
@@ -112,7 +112,8 @@
     def close_idle(self) -> None:
         """End connections that were asked to go and have nothing open."""
         for connection in self.connections:
-            if connection.session.gone and not connection.session.busy:
+            busy = connection.session.busy or connection.unacknowledged
+            if connection.session.gone and not busy:
                 self.connections.close(connection, ErrorCode.H3_NO_ERROR, "leaving")
 
     def close(self) -> None:
