Restart daemons in waves

Change: each wave takes one target of each service, up to 64, and an eighth of the entries; a life begun since the drain counts as back.

--- a/packages/zinniahook-cli/src/zinniahook_cli/drains.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/drains.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -21,12 +22,15 @@
 if TYPE_CHECKING:
     from .sessions import Session
 
-__all__ = ["Stop", "drain", "emptied", "restart"]
+__all__ = ["Stop", "drain", "emptied", "restart", "waves"]
 
 LOOK_EVERY = 0.5
 """Seconds between two questions about the progress."""
 
 
+WAVE_LIMIT = 64
+"""Daemons that are drained at the same time."""
+
 ALL_SERVICES = "*"
 
 SERVING_STATES = ("ready", "serving")
@@ -53,23 +57,44 @@
 
 
 async def restart(session: Session, statement: Restart) -> Answer:
-    """Drain each daemon and wait until it is back before the next one."""
+    """Drain the daemons in waves; each must be back before the next wave."""
     fleet = await read_fleet(session.store, session.daemons)
-    stops = [*_agents(fleet), *_entries(fleet)]
-    await _check_permitted(session, stops)
-    for number, stop in enumerate(stops, 1):
+    plan = waves(_agents(fleet), _entries(fleet))
+    await _check_permitted(session, [stop for wave in plan for stop in wave])
+    for number, wave in enumerate(plan, 1):
+        names = ", ".join(stop.name for stop in wave)
+        session.say(f"wave {number} of {len(plan)}: {names}")
         now = await read_fleet(session.store, session.daemons)
-        refused = _refusal(now, [stop], statement.force)
-        if refused is not None:
-            return _stopped_at(refused, stop, number, len(stops))
-        before = now.reply(stop.control)
-        session.say(f"{number} of {len(stops)}: {stop.name}")
-        answer = await _drain_all(session, [stop], statement.force)
-        if answer.status is Status.OK:
-            answer = await _until_back(session, stop, before)
+        answer = _refusal(now, wave, statement.force)
+        if answer is None:
+            began = time.monotonic()
+            answer = await _drain_all(session, wave, statement.force)
+            if answer.status is Status.OK:
+                answer = await _until_back(session, wave, began)
         if answer.status is not Status.OK:
-            return _stopped_at(answer, stop, number, len(stops))
-    return Answer(f"restarted {len(stops)} daemons", facts={"restarted": len(stops)})
+            text = f"stopped at wave {number} of {len(plan)} ({names}): {answer.text}"
+            return Answer(text, facts=answer.facts, status=answer.status)
+    count = sum(map(len, plan))
+    return Answer(f"restarted {count} daemons", facts={"restarted": count})
+
+
+def waves(agents: list[Stop], entries: list[Stop]) -> list[list[Stop]]:
+    """Divide the daemons so that each service loses one target at a time.
+
+    Agents of different services don't stand in for each other, so they go
+    together, up to a bound; of the entries at most a part goes at a time.
+    """
+    waiting_by_service: dict[str, list[Stop]] = {}
+    for stop in agents:
+        waiting_by_service.setdefault(stop.service, []).append(stop)
+    plan = []
+    for together in itertools.zip_longest(*waiting_by_service.values()):
+        plan += _pieces([stop for stop in together if stop], WAVE_LIMIT)
+    return plan + _pieces(entries, min(WAVE_LIMIT, max(1, len(entries) // 8)))
+
+
+def _pieces(stops: list[Stop], size: int) -> list[list[Stop]]:
+    return [stops[start : start + size] for start in range(0, len(stops), size)]
 
 
 async def _check_permitted(session: Session, stops: list[Stop]) -> None:
@@ -170,20 +195,23 @@
     return line, reply.safe
 
 
-async def _until_back(session: Session, stop: Stop, before) -> Answer:
-    """Wait until the daemon is ready again in a newer life."""
+async def _until_back(session: Session, wave: list[Stop], began: float) -> Answer:
+    """Wait until every daemon of the wave serves in a life begun since then."""
     deadline = time.monotonic() + session.settings.patience
-    started = time.monotonic()
-    while time.monotonic() < deadline:
+    while True:
         fleet = await read_fleet(session.store, session.daemons)
-        for reply in fleet.survey.answers_by_control.values():
-            newer = reply.uptime < time.monotonic() - started + LOOK_EVERY
-            if before is not None:
-                newer = reply.incarnation > before.incarnation or newer
-            if reply.name == stop.name and reply.state in SERVING_STATES and newer:
-                return Answer(f"{stop.name}: back")
+        back = {
+            reply.name
+            for reply in fleet.survey.answers_by_control.values()
+            if reply.state in SERVING_STATES and reply.uptime < time.monotonic() - began
+        }
+        missing = [stop.name for stop in wave if stop.name not in back]
+        if not missing:
+            return Answer("back")
+        if time.monotonic() >= deadline:
+            text = f"{', '.join(missing)} did not come back"
+            return Answer(text, facts={"missing": missing}, status=Status.UNFINISHED)
         await asyncio.sleep(LOOK_EVERY)
-    return Answer(f"{stop.name} did not come back", status=Status.UNFINISHED)
 
 
 def _agents(fleet: Fleet) -> list[Stop]:
@@ -264,8 +292,3 @@
         facts={"outcome": "unknown", "reason": silent.reason},
         status=Status.UNKNOWN,
     )
-
-
-def _stopped_at(answer: Answer, stop: Stop, number: int, total: int) -> Answer:
-    text = f"stopped at {stop.name} ({number} of {total}): {answer.text}"
-    return Answer(text, facts=answer.facts, status=answer.status)
--- a/packages/zinniahook-cli/src/zinniahook_cli/syntax.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/syntax.py
@@ -101,8 +101,9 @@
     ),
     "restart": Entry(
         "restart rolling [force]",
-        "Drains every daemon, one after the other; each must be back and "
-        "ready, restarted by its platform, before the next one is drained.",
+        "Drains every daemon, in waves: of each service one target at a time, of "
+        "the entries an eighth. A wave must be back and ready, restarted by its "
+        "platform, before the next one is drained.",
         ("restart rolling",),
     ),
     "rotate": Entry(
--- a/packages/zinniahook-cli/tests/test_reports.py
+++ b/packages/zinniahook-cli/tests/test_reports.py
@@ -2,7 +2,7 @@
 
 from hdrh.histogram import HdrHistogram
 from zinniahook_cli.daemons import Silent, Survey, progress
-from zinniahook_cli.drains import Stop, emptied
+from zinniahook_cli.drains import Stop, emptied, waves
 from zinniahook_cli.fleets import Fleet
 from zinniahook_cli.prompt import Words
 from zinniahook_cli.reports import Sample, draw, merged
@@ -91,6 +91,18 @@
         assert emptied(fleet, stops) == ["ledger"]
 
 
+class TestWaves:
+    def test_a_service_loses_one_target_at_a_time(self):
+        here = Address("127.0.0.1", 1)
+        agents = [Stop(f"{s}-{n}", here, s) for s in ("a", "b") for n in range(3)]
+        entries = [Stop(f"entry-{n}", here) for n in range(17)]
+        plan = waves(agents, entries)
+        names = [[stop.name for stop in wave] for wave in plan]
+        assert names[:3] == [["a-0", "b-0"], ["a-1", "b-1"], ["a-2", "b-2"]]
+        assert [len(wave) for wave in plan[3:]] == [2] * 8 + [1]
+        assert sum(map(len, plan)) == 23
+
+
 class TestCompletion:
     def test_words_follow_from_what_stands_before(self):
         words = Words(["tally", "ledger"])
