Let a new life not speak for the one whose death is unheard of

Cause: an agent that crashed and came back declared its records complete, and a peer that hadn't heard of the crash took that for the word of the former life, so a loss of records looked repaired. Change: a declaration counts only under the incarnation that the receiver's roster holds. The new case of the test fails without the change and passes with it.

--- a/packages/zinniahook-core/src/zinniahook_core/custody.py
+++ b/packages/zinniahook-core/src/zinniahook_core/custody.py
@@ -148,6 +148,10 @@
         if not self._view.valid(sender, message.incarnation):
             return
         if not message.records:
+            if not self._view.current(sender, message.incarnation):
+                # A new life of that name must not speak for the one whose
+                # death this agent hasn't heard of yet.
+                return
             if message.remembers:
                 self._view.remember(sender, message.remembers)
             self._view.declare(sender, message.revision)
--- a/packages/zinniahook-core/tests/test_claims.py
+++ b/packages/zinniahook-core/tests/test_claims.py
@@ -309,7 +309,8 @@
         group.deliver()
         assert group.ran(first) == []
 
-    def test_new_life_of_a_name_vouches_for_nothing(self):
+    @pytest.mark.parametrize("told", [True, False])
+    def test_new_life_of_a_name_vouches_for_nothing(self, told):
         """
         Symptom: a doubled ticket after two members crashed and came back.
         Sequence: owner and runner crash; both start again under their names,
@@ -323,7 +324,10 @@
         group.crash(first)
         group.join(owner, incarnation=2)
         group.run(2)
-        group.join(first, incarnation=2)
+        group.join(first, incarnation=2, tell=told)
+        group.tell(first)
+        group.run(2)
+        group.tell()
         group.run(2)
         group.request(second, 2, attempt=2)
         group.run(2)
