Drain a target of every service in the demo

Cause: ledgers and catalogues were left out while a drain cut answers short. Change: one target of each service drains.

--- a/packages/zinniahook-testkit/src/zinniahook_testkit/demo.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/demo.py
@@ -80,7 +80,7 @@
         await cluster.kill_entry("entry-1")
         await asyncio.sleep(BETWEEN)
         leaving = [f"{service.name}-1" for service in deployment.services]
-        for name in leaving[:1]:
+        for name in leaving:
             cluster.drain_agent(name)
         await asyncio.sleep(BETWEEN)
         changed_at = time.monotonic()
@@ -88,7 +88,7 @@
         await cluster.wait_for_generation(generation)
         in_force = time.monotonic() - changed_at
         await asyncio.sleep(max(0.0, NO_NEW_WORK - BETWEEN - in_force))
-        left = {name: await cluster.ledger(name) for name in leaving[:1]}
+        left = {name: await cluster.ledger(name) for name in leaving}
         await asyncio.sleep(BETWEEN)
         results = [result for load in loads for result in await load.finish()]
         ledgers = await cluster.ledgers()
