--- a/packages/zinniahook-testkit/src/zinniahook_testkit/injections.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/injections.py
@@ -13,6 +13,7 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 from zinniahook_core.configuration import Document
 from zinniahook_store import configurations
 from zinniahook_store.configurations import Committed
@@ -203,10 +204,20 @@
     for _ in range(times):
         began = time.monotonic()
         generation = await stage.cluster.change(_longer_queues)
-        await stage.cluster.wait_for_generation(generation)
+        await _wait_for_generation(stage, generation)
         stage.seconds_to_in_force.append(time.monotonic() - began)
 
 
+async def _wait_for_generation(stage: Stage, generation: int) -> None:
+    while True:
+        try:
+            await stage.cluster.wait_for_generation(generation)
+            return
+        except (OSError, GRPCError, StreamTerminatedError):
+            # A daemon that was asked has just been killed by another fault.
+            await asyncio.sleep(WATCH_INTERVAL)
+
+
 @injection("operators-race")
 async def _race(stage: Stage, operators: int = 4, rounds: int = 3) -> None:
     for number in range(rounds):
@@ -233,7 +244,7 @@
     stored = await configurations.read(store)
     # All start from the same base: of two that are accepted one is gone.
     stage.changes_lost += sum(each.generation != stored.generation for each in accepted)
-    await stage.cluster.wait_for_generation(stored.generation)
+    await _wait_for_generation(stage, stored.generation)
 
 
 @injection("store-out")
