--- a/packages/zinniahook-daemon/tests/test_entry.py
+++ b/packages/zinniahook-daemon/tests/test_entry.py
@@ -308,8 +308,11 @@
                     bench.nodes.commit(bench.node, 2, bench.tally, extra)
                     assert set(bench.entry.addresses()) == {"tally"}
                     assert bench.node.metrics.counters_by_name["entry.not_bound"] == 1
+                    reason = bench.node.status_handler()["reason"]
+                    assert reason == "1 service addresses not bound"
                 bench.entry._retry_binding()
                 assert set(bench.entry.addresses()) == {"tally", "extra"}
+                assert bench.node.status_handler() == {}
 
         asyncio.run(run())
 
--- a/packages/zinniahook-daemon/tests/test_tree.py
+++ b/packages/zinniahook-daemon/tests/test_tree.py
@@ -187,7 +187,10 @@
                     for number in range(DAEMONS)
                 ]
                 await eventually(lambda: all(one.generation == 1 for one in rest))
-                assert all(one.distribution.depth == 2 for one in rest)
+                # The distance comes with the digest, after the generation.
+                await eventually(
+                    lambda: all(one.distribution.depth == 2 for one in rest)
+                )
                 subscribers = [len(one.distribution.subscribers) for one in first]
                 assert sum(subscribers) == DAEMONS
                 assert store_process.state()["watches"] == WATCHERS
