Let a caller's feed go on when its server leaves

Cause: a feed lasts for hours and was bound to one connection, so it broke when its agent had drained. Change: Session.events reads server-sent events; on GOAWAY it opens the feed anew with Last-Event-ID on a new connection, at a random time within a spread, reads the old answer until the new one has begun, and drops doubles by id. The same after a lost connection.

--- a/packages/zinniahook-caller/src/zinniahook_caller/__init__.py
+++ b/packages/zinniahook-caller/src/zinniahook_caller/__init__.py
@@ -11,6 +11,7 @@
     CallerError,
     ConnectError,
     ConnectionLostError,
+    FeedRefusedError,
     InProgressError,
     InvalidRequestError,
     NotRunError,
@@ -19,6 +20,7 @@
     RequestRejectedError,
     UnknownOutcomeError,
 )
+from .feeds import Event, Feed, Spread
 from .models import OutcomeKind, Request, Response
 from .retries import Backoff
 from .sessions import Session, StreamedResponse
@@ -30,6 +32,9 @@
     "CallerError",
     "ConnectError",
     "ConnectionLostError",
+    "Event",
+    "Feed",
+    "FeedRefusedError",
     "Http3Adapter",
     "InProgressError",
     "InvalidRequestError",
@@ -43,6 +48,7 @@
     "Response",
     "Session",
     "Silence",
+    "Spread",
     "StreamedResponse",
     "UnknownOutcomeError",
     "adapter",
--- a/packages/zinniahook-caller/src/zinniahook_caller/connections.py
+++ b/packages/zinniahook-caller/src/zinniahook_caller/connections.py
@@ -95,7 +95,10 @@
 
 
 class Exchange:
-    """One request and its answer on one stream."""
+    """One request and its answer on one stream.
+
+    ``leaving`` is set once the server wants to be left (GOAWAY).
+    """
 
     def __init__(self, connection: Http3Connection, stream: int) -> None:
         self.stream = stream
@@ -107,6 +110,7 @@
         self._changed = asyncio.Event()
         self._error: CallerError | None = None
         self.ended = False
+        self.leaving = asyncio.Event()
 
     async def head(self) -> tuple[int, dict[str, str]]:
         """Wait for the status and the headers.
@@ -258,6 +262,8 @@
         stream = quic.get_next_available_stream_id()
         exchange = Exchange(self, stream)
         self._exchanges_by_stream[stream] = exchange
+        if self._h3.going_away:
+            exchange.leaving.set()
         quic.unread_by_stream[stream] = 0
         headers = [
             (b":method", request.method.encode()),
@@ -323,8 +329,12 @@
             reason = event.reason_phrase or f"error {event.error_code:#x}"
             self._lose(ConnectionLostError(f"connection closed: {reason}"))
             return
+        was_usable = self.usable
         for http_event in self._h3.handle_event(event):
             self._dispatch(http_event)
+        if was_usable and self._h3.going_away:
+            for exchange in self._exchanges_by_stream.values():
+                exchange.leaving.set()
         if isinstance(event, StreamReset | StopSendingReceived):
             self._reset(event)
 
--- a/packages/zinniahook-caller/src/zinniahook_caller/exceptions.py
+++ b/packages/zinniahook-caller/src/zinniahook_caller/exceptions.py
@@ -9,6 +9,7 @@
     "CallerError",
     "ConnectError",
     "ConnectionLostError",
+    "FeedRefusedError",
     "InProgressError",
     "InvalidRequestError",
     "NotRunError",
@@ -27,6 +28,10 @@
     """The arguments don't make a request."""
 
 
+class FeedRefusedError(CallerError):
+    """The answer is no feed of server-sent events that could be read."""
+
+
 class OutcomeError(CallerError):
     """A request ended without an answer of the target.
 
--- a/packages/zinniahook-caller/src/zinniahook_caller/sessions.py
+++ b/packages/zinniahook-caller/src/zinniahook_caller/sessions.py
@@ -26,6 +26,7 @@
     RequestRejectedError,
     UnknownOutcomeError,
 )
+from .feeds import EVENT_STREAM, Feed, Opened, Spread
 from .models import OutcomeKind, Request, Response
 from .retries import Backoff, outcome_of, retry_after
 
@@ -119,6 +120,8 @@
         Seconds that a call may take with all its retries, unless it says.
     backoff : Backoff, optional
         Waits between attempts.
+    spread : Spread, optional
+        When feeds are opened anew.
     silence : Silence, optional
         When a connection without a sign of life is moved and given up.
     rng : random.Random, optional
@@ -146,6 +149,7 @@
         deadline: float = DEFAULT_DEADLINE,
         backoff: Backoff | None = None,
         silence: Silence | None = None,
+        spread: Spread | None = None,
         rng: random.Random | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
@@ -160,6 +164,7 @@
         self.deadline = deadline
         self.cuts = 0
         self._backoff = backoff or Backoff()
+        self._spread = spread or Spread()
         self._rng = rng or random.Random()
 
     async def get(self, path: str, **kwargs: Any) -> Response:
@@ -253,6 +258,60 @@
         finally:
             exchange.cancel()
 
+    @asynccontextmanager
+    async def events(
+        self,
+        path: str,
+        *,
+        headers: Mapping[str, str] | None = None,
+        last_id: str = "",
+        deadline: float | None = None,
+    ) -> AsyncIterator[Feed]:
+        """Follow a feed of server-sent events over all that changes.
+
+        When its server leaves, or its connection is lost or falls silent, it
+        is opened anew with ``Last-Event-ID`` and goes on where it was. That
+        is tried without end; an answer 204 ends the feed.
+
+        Parameters
+        ----------
+        path : str
+            Path and query.
+        headers : mapping, optional
+            Further header fields.
+        last_id : str, optional
+            Id of the event to begin after.
+        deadline : float, optional
+            Seconds that one opening may take with all its attempts.
+
+        Raises
+        ------
+        OutcomeError
+            If the first answer doesn't begin before the deadline.
+        FeedRefusedError
+            If the answer is no feed.
+
+        Examples
+        --------
+        >>> async with session.events("/tally/feed") as feed:
+        ...     async for event in feed:
+        ...         print(event.id, event.data)
+        """
+        fields = {**(headers or {}), "accept": EVENT_STREAM}
+
+        async def send(after: str) -> Opened:
+            named = {**fields, "last-event-id": after} if after else fields
+            request = _prepare("GET", path, named, b"", None, None)
+            return Opened(*await self._send(self._call(request, deadline, True)))
+
+        feed = Feed(send, self._spread, self._backoff, self._rng, last_id)
+        try:
+            await feed.open()
+            yield feed
+        finally:
+            await feed.close()
+            self.cuts += feed.cuts
+
     async def close(self) -> None:
         """Close the connections."""
         await self.adapter.close()
--- /dev/null
+++ b/packages/zinniahook-caller/tests/test_feeds.py
@@ -0,0 +1,254 @@
+import asyncio
+import itertools
+import random
+
+import pytest
+from aioquic.h3.connection import ErrorCode
+from hypothesis import given, strategies
+from zinniahook_caller import Backoff, Event, FeedRefusedError, Session, Spread
+from zinniahook_caller.feeds import LARGEST, EventParser
+
+LAST_STREAM = (1 << 62) - 4
+AT_ONCE = Spread(leaving=0.0, lost=0.0)
+
+
+class Source:
+    """A server's feed of numbers, opened and written to by the test."""
+
+    def __init__(self):
+        self.opened = asyncio.Queue()
+
+    def __call__(self, received):
+        fields = [(b":status", b"200"), (b"content-type", b"text/event-stream")]
+        received.server.h3.send_headers(received.stream, fields)
+        self.opened.put_nowait(received)
+
+
+def send(received, *numbers, end=False):
+    body = b"".join(b"id: %d\ndata: %d!\n\n" % (n, n) for n in numbers)
+    received.server.h3.send_data(received.stream, body, end_stream=end)
+    received.server.transmit()
+
+
+def session(running, certificate, spread=AT_ONCE):
+    return Session(
+        running.address,
+        ca=str(certificate.chain),
+        backoff=Backoff(0.001, 0.01),
+        spread=spread,
+        rng=random.Random(1),
+    )
+
+
+async def take(feed, count):
+    """Take so many events and return the numbers that they carry."""
+    events = []
+    async for event in feed:
+        assert event.data == f"{event.id}!"
+        events.append(int(event.id))
+        if len(events) == count:
+            return events
+    raise AssertionError(f"ended after {events}")
+
+
+class TestFeed:
+    def test_it_goes_on_elsewhere_when_its_server_leaves(self, run, certificate):
+        """
+        Symptom: a foreman's tally breaks off when a target is replaced.
+        Sequence: the server sends GOAWAY and goes on for a while; the feed is
+        opened on a new connection; both send the same events for a time.
+        Cause: nobody opened the feed anew while the old one still worked, or
+        events of the overlap were shown twice.
+        """
+
+        async def check(running):
+            async with (
+                session(running, certificate) as caller,
+                caller.events("/feed") as feed,
+            ):
+                old = await source.opened.get()
+                send(old, 1, 2)
+                assert await take(feed, 2) == [1, 2]
+                old.server.go_away(LAST_STREAM)
+                send(old, 3)
+                new = await source.opened.get()
+                assert new.server is not old.server
+                after = int(new.headers["last-event-id"])
+                assert after in (2, 3)
+                assert new.headers["accept"] == "text/event-stream"
+                send(new, *range(after + 1, 6))
+                assert await take(feed, 3) == [3, 4, 5]
+                assert (feed.reopened, feed.cuts) == (1, 0)
+
+        run(source := Source(), check)
+
+    def test_the_old_answer_is_read_until_the_new_one_begins(self, run, certificate):
+        """
+        Symptom: a feed stands still for as long as a new target is slow.
+        Sequence: the server leaves; the new answer takes its time while the
+        old one brings further events, which the new one then repeats.
+        Cause: the old answer was given up before the new one had begun.
+        """
+        held = []
+
+        def script(received):
+            if source.opened.empty() and not held:
+                held.append(received)
+                source(received)
+            else:
+                held.append(received)
+
+        async def check(running):
+            async with (
+                session(running, certificate) as caller,
+                caller.events("/feed") as feed,
+            ):
+                old = await source.opened.get()
+                send(old, 1)
+                assert await take(feed, 1) == [1]
+                old.server.go_away(LAST_STREAM)
+                while len(held) < 2:
+                    await asyncio.sleep(0)
+                send(old, 2, 3)
+                assert await take(feed, 2) == [2, 3]
+                source(held[1])
+                send(held[1], 2, 3, 4)
+                assert await take(feed, 1) == [4]
+                assert feed.doubles == 2
+
+        source = Source()
+        run(script, check)
+
+    @pytest.mark.parametrize("way", ["reset", "close", "end"])
+    def test_it_goes_on_after_it_was_cut(self, run, certificate, way):
+        """
+        Symptom: a feed has a gap where its connection was lost.
+        Sequence: the answer is cut, ends, or its connection is closed.
+        Cause: the new answer began with now instead of after the last id.
+        """
+
+        async def check(running):
+            async with (
+                session(running, certificate) as caller,
+                caller.events("/feed", last_id="6") as feed,
+            ):
+                old = await source.opened.get()
+                assert old.headers["last-event-id"] == "6"
+                send(old, 7, 8, end=way == "end")
+                assert await take(feed, 2) == [7, 8]
+                if way == "reset":
+                    old.server.reset(old.stream, ErrorCode.H3_INTERNAL_ERROR)
+                elif way == "close":
+                    old.server.close()
+                new = await source.opened.get()
+                assert new.headers["last-event-id"] == "8"
+                send(new, 9)
+                assert await take(feed, 1) == [9]
+                assert feed.cuts == (way != "end")
+
+        run(source := Source(), check)
+
+    def test_feeds_of_one_server_dont_come_back_together(self, run, certificate):
+        """
+        Symptom: the other targets refuse callers whenever one is replaced.
+        Sequence: a server with many feeds sends GOAWAY.
+        Cause: all of them were opened anew in the same instant.
+        """
+
+        async def check(running):
+            async with session(running, certificate, Spread(3600.0, 0.0)) as caller:
+                caller._rng = Draws(0.0, 0.5)
+                async with (
+                    caller.events("/feed") as soon,
+                    caller.events("/feed") as later,
+                ):
+                    olds = [await source.opened.get() for _ in range(2)]
+                    for old in olds:
+                        send(old, 1)
+                    assert await take(soon, 1) == await take(later, 1) == [1]
+                    olds[0].server.go_away(LAST_STREAM)
+                    new = await source.opened.get()
+                    assert new.server is not olds[0].server
+                    send(new, 2)
+                    for old in olds:
+                        send(old, 2, 3)
+                    assert await take(later, 2) == [2, 3]
+                    assert (soon.reopened, later.reopened) == (1, 0)
+                    assert source.opened.empty()
+
+        run(source := Source(), check)
+
+    def test_an_answer_that_is_no_feed_is_told(self, run, certificate):
+        def plain(received):
+            received.server.answer(received.stream, 404, body=b"no")
+
+        async def check(running):
+            async with session(running, certificate) as caller:
+                with pytest.raises(FeedRefusedError, match="404"):
+                    async with caller.events("/feed"):
+                        pass
+
+        run(plain, check)
+
+    def test_no_content_ends_the_feed(self, run, certificate):
+        def script(received):
+            if "last-event-id" in received.headers:
+                received.server.answer(received.stream, 204)
+            else:
+                source(received)
+                send(received, 1, end=True)
+
+        async def check(running):
+            async with (
+                session(running, certificate) as caller,
+                caller.events("/feed") as feed,
+            ):
+                assert [event.id async for event in feed] == ["1"]
+
+        source = Source()
+        run(script, check)
+
+
+class Draws:
+    """Random numbers as the test has them."""
+
+    def __init__(self, *draws):
+        self.draws = list(draws)
+
+    def random(self):
+        return self.draws.pop(0)
+
+
+class TestEventParser:
+    TEXT = (
+        b": hello\nid: 1\ndata: a\ndata:b\n\r\n"
+        b"event: loan\r\nid:2\r\ndata: \xc3\xa9\r\n\r\n"
+        b"id: 3\n\ndata: none\r\rretry: 5\n\ndata: unfinished"
+    )
+    EVENTS = (
+        Event("1", "message", "a\nb"),
+        Event("2", "loan", "é"),
+        Event("", "message", "none"),
+    )
+
+    @given(cuts=strategies.lists(strategies.integers(0, len(TEXT)), max_size=8))
+    def test_chunks_may_end_anywhere(self, cuts):
+        parser = EventParser()
+        places = [0, *sorted(cuts), len(self.TEXT)]
+        events = []
+        for begin, end in itertools.pairwise(places):
+            events += parser.feed(self.TEXT[begin:end])
+        assert tuple(events) == self.EVENTS
+
+    @given(strategies.lists(strategies.binary(max_size=40), max_size=8))
+    def test_any_bytes_are_survived(self, chunks):
+        parser = EventParser()
+        for chunk in chunks:
+            for event in parser.feed(chunk):
+                assert event.data is not None
+
+    def test_an_event_without_end_is_refused(self):
+        parser = EventParser()
+        with pytest.raises(FeedRefusedError):
+            for _ in range(3):
+                parser.feed(b"data: " + b"x" * (LARGEST // 2) + b"\n")
