--- a/tests/test_entry_path.py
+++ b/tests/test_entry_path.py
@@ -50,13 +50,25 @@
         await asyncio.to_thread(lambda: urllib.request.urlopen(request).close())
 
 
+class TreeCluster(LearningCluster):
+    """A cluster in which two entries watch the store for all daemons."""
+
+    def _settings(self, name: str, role: str) -> dict[str, Any]:
+        settings = super()._settings(name, role)
+        settings["control"]["parents"] = []
+        settings["control"]["watchers"] = 2
+        return settings
+
+
 def under_load(
-    folder: Path, act: Callable[[LearningCluster], Awaitable[None]]
+    folder: Path,
+    act: Callable[[LearningCluster], Awaitable[None]],
+    kind: type[LearningCluster] = LearningCluster,
 ) -> list[LoadResult]:
     """Run a cluster, act while callers are at work, check the invariants."""
 
     async def run() -> list[LoadResult]:
-        async with LearningCluster(DEPLOYMENT, folder) as cluster:
+        async with kind(DEPLOYMENT, folder) as cluster:
             load = await cluster.run_loads(["tally"])
             await flows_open(cluster)
             await act(cluster)
@@ -159,6 +171,29 @@
 
         not_broken(under_load(tmp_path, act))
 
+    def test_changes_go_through_few_watches(self, tmp_path):
+        """Symptom: daemons that don't watch the store keep an old generation.
+
+        Sequence: two entries watch for all; one of them is killed, then the
+        watches go silent, then the store is out for a while; each time a
+        change follows. Cause: those who learn from others would depend on
+        one way.
+        """
+
+        async def act(cluster: LearningCluster) -> None:
+            await cluster.kill_entry("entry-1")
+            await changed(cluster)
+            await cluster.start_entry("entry-1")
+            await cluster.kill_entry("entry-2")
+            await changed(cluster)
+            await cluster.store_faults(silent=True)
+            await changed(cluster)
+            await cluster.store_faults(silent=False, outage="refuse")
+            await cluster.store_faults(outage="")
+            await changed(cluster)
+
+        not_broken(under_load(tmp_path, act, TreeCluster))
+
     def test_services_come_and_go(self, tmp_path):
         async def act(cluster: LearningCluster) -> None:
             with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
@@ -188,6 +223,12 @@
         not_broken(under_load(tmp_path, act))
 
 
+async def changed(cluster: Cluster) -> None:
+    """Make a change and wait until every daemon has it in force."""
+    generation = await cluster.change(lambda document: document)
+    await cluster.wait_for_generation(generation)
+
+
 async def is_bound(cluster: Cluster, port: int, expected: bool) -> None:
     """Check whether the entries hold a port on their own addresses."""
     for number in range(1, DEPLOYMENT.entries + 1):
