Take a slot only for a request whose body is here

A request was told to the core with its head, so a caller that sends slowly held a slot of the target meanwhile. It is told now when the body is whole or 64 KB of it are here, and refused after 60 s without. Heads are read in a module of their own.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/connections.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/connections.py
@@ -176,9 +176,11 @@
         for connection in list(self._handshaking.values()):
             if now - connection.opened_at > HANDSHAKE_TIMEOUT:
                 self.drop(connection)
-        for connection in self.by_number.values():
-            silent = now - connection.heard_at > KEEP_ALIVE
-            if silent and not connection.handshaking and connection.session.busy:
+        for connection in self:
+            if connection.handshaking:
+                continue
+            connection.session.expire(now)
+            if now - connection.heard_at > KEEP_ALIVE and connection.session.busy:
                 connection.send_ping(0)
                 self.touch(connection)
 
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/exchanges.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/exchanges.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "Answer",
+    "BODY_METHODS",
     "Body",
     "BodyAborted",
     "Exchange",
@@ -40,6 +41,9 @@
 KEY_LENGTH = 128
 """Longest Idempotency-Key."""
 
+BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
+"""Methods whose body counts though no content-length announces it."""
+
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
 
 STATUS_BY_KIND = {
@@ -225,9 +229,12 @@
         Bytes of the request went out to the target or a peer.
     relayed_by : str
         The peer that passed the request on, or empty.
+    relayed_to : str
+        The peer that it was passed to, or empty.
     """
 
     relayed_by = ""
+    relayed_to = ""
 
     def __init__(self, head: Head, kind: str, now: float) -> None:
         self.number = next(_numbers)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/http3.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/http3.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import re
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 from aioquic.buffer import encode_uint_var
@@ -26,7 +25,8 @@
 )
 from zinniahook_core.codes import Code, Outcome, OutcomeKind
 
-from .exchanges import KEY_LENGTH, Exchange, Head, Headers, answer_of
+from .exchanges import BODY_METHODS, Exchange, Head, Headers, answer_of
+from .heads import BODY_SIZE, fault, read_head
 from .quic import ServerConnection
 
 __all__ = ["CallerExchange", "Http3Session", "Owner"]
@@ -34,21 +34,19 @@
 HEADER_SIZE = 16 * 1024
 """Largest header block of a request, in bytes as sent."""
 
-BODY_SIZE = 1 << 30
-"""Largest body of a request, in bytes."""
-
 HIGH_WATER = 256 * 1024
 """Unacknowledged bytes of an answer at which its source has to wait."""
 
 LOW_WATER = HIGH_WATER // 2
 
-LAST_STREAM = (1 << 62) - 4
-"""Largest id of a request stream: a GOAWAY that rejects nothing yet."""
+BODY_AHEAD = 64 * 1024
+"""Bytes of a body up to which a request waits for the whole of it."""
 
-METHOD = re.compile(r"[A-Z]{1,32}")
-PATH = re.compile(r"/[!-~]*|\*")
+BODY_TIMEOUT = 60.0
+"""Seconds that a caller has to send that much."""
 
-PSEUDO_HEADERS = frozenset({b":method", b":path", b":scheme", b":authority"})
+LAST_STREAM = (1 << 62) - 4
+"""Largest id of a request stream: a GOAWAY that rejects nothing yet."""
 
 
 class Owner(Protocol):
@@ -114,8 +112,20 @@
         super().__init__(head, kind, now)
         self.session = session
         self.stream_id = stream_id
+        self.is_announced = False
         self.drained: asyncio.Future[None] | None = None
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether enough of the request is here to run it.
+
+        A field device may take seconds to send a ticket. Run as soon as its
+        head is here, it would hold a slot of the target all that time.
+        """
+        if self.head.method not in BODY_METHODS or self.head.get(b"expect"):
+            return True
+        return self.body.ended or self.body.size >= BODY_AHEAD
+
     def send_head(self, status: int, headers: Headers) -> None:
         """Send the head of the answer."""
         pairs = [(b":status", b"%d" % status), *headers]
@@ -174,6 +184,8 @@
         self.by_stream: dict[int, CallerExchange] = {}
         self.waiting: dict[int, CallerExchange] = {}
         self.gone = False
+        self._asked = False
+        self._owed: bool | None = None
         self._owner = owner
         self._touch = touch
         self._http: _Http3 | None = None
@@ -190,6 +202,8 @@
         """Take an event of the connection."""
         if isinstance(event, HandshakeCompleted):
             self._http = _Http3(self.connection)
+            if self._owed is not None:
+                self.go_away(self._owed)
             return
         if self._http is None:
             return
@@ -205,6 +219,14 @@
                 del self.waiting[stream_id]
                 exchange.release()
 
+    def expire(self, now: float) -> None:
+        """Refuse requests whose bodies don't come."""
+        for exchange in list(self.by_stream.values()):
+            late = now - exchange.arrived_at > BODY_TIMEOUT
+            if late and not exchange.is_announced:
+                self._owner.refused(Code.DEADLINE_EXPIRED)
+                exchange.refuse(Outcome(OutcomeKind.NOT_RUN, Code.DEADLINE_EXPIRED))
+
     def ended(self) -> None:
         """Cancel everything: the connection has ended."""
         self._http = None
@@ -219,13 +241,27 @@
         defines as certainly not processed.
         """
         if self._http is None:
+            # A caller in the middle of its handshake would never hear of it,
+            # and its feed would hold the leaving agent up.
+            self._owed = final
             return
+        self._asked = True
         if final:
             self.gone = True
             self._rejected_from = self._next_stream
         self._http.go_away(self._next_stream if final else LAST_STREAM)
         self._touch(self.connection)
 
+    def leave(self, peers: Collection[str]) -> None:
+        """Ask the caller for a new connection if a request runs at ``peers``.
+
+        What goes wrong: a peer that leaves waits for the feeds that it runs
+        for callers of this agent, and those callers hear nothing of it.
+        """
+        running = (exchange.relayed_to for exchange in self.by_stream.values())
+        if not self._asked and any(peer in peers for peer in running):
+            self.go_away(final=False)
+
     # What exchanges send
 
     def send_headers(self, stream_id: int, headers: list[tuple[bytes, bytes]]) -> None:
@@ -294,27 +330,18 @@
                 self._request(event)
             elif event.stream_ended:
                 exchange.body.feed(b"", end=True)
+                self._announce(exchange)
         elif isinstance(event, DataReceived):
             self._body(event)
 
     def _request(self, event: HeadersReceived) -> None:
-        values = dict(event.headers)
-        headers = tuple(
-            (name, value) for name, value in event.headers if name not in PSEUDO_HEADERS
-        )
-        if b":authority" in values and b"host" not in values:
-            headers += ((b"host", values[b":authority"]),)
-        head = Head(
-            values.get(b":method", b"").decode("latin-1"),
-            values.get(b":path", b"").decode("latin-1"),
-            headers,
-        )
-        if not _is_sound(head):
+        head = read_head(event.headers)
+        if head is None:
             self._abort(event.stream_id, ErrorCode.H3_MESSAGE_ERROR)
             self._owner.refused(Code.DATAGRAM_MALFORMED)
             return
         kind = self._owner.classify(head.path)
-        code = _fault(head)
+        code = fault(head)
         if code is not None:
             self._refuse(event.stream_id, code)
             return
@@ -324,7 +351,12 @@
         self.connection.unread_by_stream[event.stream_id] = 0
         if event.stream_ended:
             exchange.body.feed(b"", end=True)
-        self._owner.arrived(exchange)
+        self._announce(exchange)
+
+    def _announce(self, exchange: CallerExchange) -> None:
+        if exchange.is_ready and not exchange.is_announced:
+            exchange.is_announced = True
+            self._owner.arrived(exchange)
 
     def _body(self, event: DataReceived) -> None:
         exchange = self.by_stream.get(event.stream_id)
@@ -332,10 +364,12 @@
             return
         if exchange.body.size + len(event.data) > BODY_SIZE:
             exchange.refuse(Outcome(OutcomeKind.UNKNOWN, Code.BODY_TOO_LARGE))
+            exchange.body.abort()
             self._owner.cancelled(exchange)
             return
         self.connection.unread_by_stream[event.stream_id] += len(event.data)
         exchange.body.feed(event.data, event.stream_ended)
+        self._announce(exchange)
 
     def _reset(self, event: StreamReset | StopSendingReceived) -> None:
         self._http.handle_event(event)
@@ -350,7 +384,8 @@
         exchange.finished = True
         self.done(exchange)
         exchange.body.abort()
-        self._owner.cancelled(exchange)
+        if exchange.is_announced:
+            self._owner.cancelled(exchange)
 
     def _refuse(self, stream_id: int, code: Code) -> None:
         self._owner.refused(code)
@@ -372,22 +407,3 @@
         self._http.forget(stream_id)
         if self.connection.stop_receiving(stream_id, error_code):
             self._deaf.add(stream_id)
-
-
-def _is_sound(head: Head) -> bool:
-    """Tell whether a head stays one HTTP/1.1 request at the target.
-
-    HTTP/3 carries method and path apart from each other. Written into one
-    line, a space in them would make the target read another request than
-    the one that was classed and admitted here.
-    """
-    return bool(METHOD.fullmatch(head.method) and PATH.fullmatch(head.path))
-
-
-def _fault(head: Head) -> Code | None:
-    """Return why a request is refused for its form, if it is."""
-    if len(head.get(b"idempotency-key")) > KEY_LENGTH:
-        return Code.KEY_TOO_LONG
-    if (head.number(b"content-length") or 0) > BODY_SIZE:
-        return Code.BODY_TOO_LARGE
-    return None
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/quic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/quic.py
@@ -64,6 +64,9 @@
     def flushed(self) -> None:
         """Go on sending: datagrams left and acknowledgements came."""
 
+    def expire(self, now: float) -> None:
+        """Give up what has waited too long; called about once a second."""
+
     def ended(self) -> None:
         """Learn that the connection has ended; nothing can be sent any more."""
 
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/targets.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/targets.py
@@ -30,7 +30,7 @@
 from zinniahook_core.events import TargetReported
 from zinniahook_core.models import Address, Load
 
-from .exchanges import BodyAborted, Exchange, Headers
+from .exchanges import BODY_METHODS, BodyAborted, Exchange, Headers
 
 __all__ = ["Result", "Target"]
 
@@ -48,8 +48,6 @@
 SHED_RETRY_AFTER = 0.5
 """Seconds to wait after a target shed a request without saying for how long."""
 
-BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
-
 HOP_BY_HOP = frozenset(
     {
         "connection",
--- a/packages/zinniahook-daemon/tests/test_connections.py
+++ b/packages/zinniahook-daemon/tests/test_connections.py
@@ -46,6 +46,9 @@
     def flushed(self) -> None:
         pass
 
+    def expire(self, now: float) -> None:
+        pass
+
     def ended(self) -> None:
         self.has_ended = True
 
--- a/packages/zinniahook-daemon/tests/test_exchanges.py
+++ b/packages/zinniahook-daemon/tests/test_exchanges.py
@@ -28,7 +28,8 @@
     decode_answer,
     encode_answer,
 )
-from zinniahook_daemon.http3 import BODY_SIZE, HIGH_WATER, Http3Session
+from zinniahook_daemon.heads import BODY_SIZE
+from zinniahook_daemon.http3 import BODY_TIMEOUT, HIGH_WATER, Http3Session
 from zinniahook_daemon.quic import make_configuration
 from zinniahook_daemon.sockets import UdpSocket
 from zinniahook_daemon.targets import Result, Target
@@ -313,6 +314,43 @@
         run(scenario)
 
 
+class TestSlowCaller:
+    def test_holds_no_slot_while_it_sends(self, run):
+        """A field device takes seconds to send a ticket.
+
+        Symptom: a target idles while its slots are taken. Sequence: the head
+        of a request, then nothing, then its body. Cause: a request that runs
+        when its head is here waits for the body in a slot.
+        """
+
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            stream_id = client.ask("POST", "/tickets", end=False)
+            client.http.send_data(stream_id, bytes(500), end_stream=False)
+            client.transmit()
+            await asyncio.wait_for(client.ping(), PATIENCE)
+            assert not bench.owner.tasks_by_number
+            client.http.send_data(stream_id, bytes(500), end_stream=True)
+            client.transmit()
+            assert (await client.answer())[1] == b'{"size": 1000}'
+
+        run(scenario)
+
+    def test_is_refused_in_the_end(self, run):
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            client.ask("POST", "/tickets", end=False)
+            await asyncio.wait_for(client.ping(), PATIENCE)
+            now = asyncio.get_running_loop().time()
+            bench.session.expire(now + BODY_TIMEOUT / 2)
+            assert bench.session.busy
+            bench.session.expire(now + BODY_TIMEOUT + 1)
+            headers, _ = await client.answer()
+            assert headers[b"zinniahook-outcome"] == b"not-run"
+            assert not bench.session.busy
+            assert not bench.owner.tasks_by_number
+
+        run(scenario)
+
+
 class TestCancellation:
     @pytest.mark.parametrize("way", ["reset", "close"])
     def test_reaches_the_target(self, run, way):
