core: count what a target sheds against it

Symptom: one target sheds all requests for 4 s while the others are idle; the tickets of callers connected to its agent take seconds and up to 7 attempts. Sequence: the target answers 503 at once; its agent has no request in progress and keeps what comes; the caller comes back to the same agent. Cause: only failed and lost answers counted against a target; a shed request counted as a success. Change: it counts as a failure, so that new work goes to the peers.

--- a/packages/zinniahook-core/src/zinniahook_core/agents.py
+++ b/packages/zinniahook-core/src/zinniahook_core/agents.py
@@ -45,6 +45,10 @@
 RETRY_FENCED = 1.0
 """Seconds after which a fenced agent tells callers to come back."""
 
+TARGET_FAULTS = frozenset({Code.TARGET_FAILED, Code.TARGET_SHED, Code.ANSWER_LOST})
+"""Ends of a request that speak against the target. One that sheds is idle by the
+agent's counts, and would draw in the work that it refuses."""
+
 Handler = Callable[[Any, float, Any], Iterable[AgentEffect]]
 
 _HANDLERS_BY_EVENT: dict[type, Handler] = {}
@@ -257,7 +261,7 @@
     def _finish(self, now: float, event: RequestFinished) -> Iterable[AgentEffect]:
         if event.request in self._running:
             self._running.discard(event.request)
-            failed = event.outcome.code in (Code.TARGET_FAILED, Code.ANSWER_LOST)
+            failed = event.outcome.code in TARGET_FAULTS
             self.placement.health.finished(now, failed)
         return self.requests.handle(now, event)
 
