--- a/packages/zinniahook-core/src/zinniahook_core/opens.py
+++ b/packages/zinniahook-core/src/zinniahook_core/opens.py
@@ -5,11 +5,13 @@
 import enum
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from .admission import Decision
 from .events import RequestArrived
+from .models import Load
 
-__all__ = ["Open", "OpenRequests", "Stage"]
+__all__ = ["Open", "OpenRequests", "RequestPlacement", "Stage"]
 
 
 class Stage(enum.Enum):
@@ -115,3 +117,15 @@
         """Close everything."""
         self._by_number.clear()
         self._leader_by_key.clear()
+
+
+class RequestPlacement(Protocol):
+    """What requests need of ``placement.Placement``."""
+
+    def choose_for_request(
+        self, now: float, slots_needed: int, local: Load, forced: bool = False
+    ) -> str | None:
+        """Return the peer that should run a request, or None for this agent."""
+
+    def handed(self, now: float, peer: str, slots: int = 1) -> None:
+        """Note that work was handed to ``peer``."""
--- a/packages/zinniahook-core/src/zinniahook_core/requests.py
+++ b/packages/zinniahook-core/src/zinniahook_core/requests.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any, Protocol
+from typing import Any
 
 from .admission import Admission, Decision, Verdict
 from .claims import Claims, Settled
@@ -38,7 +38,8 @@
 )
 from .messages import ClaimIntent, ClaimState
 from .models import AgentState, Load, Member, Service
-from .opens import Open, OpenRequests, Stage
+from .opens import Open, OpenRequests, RequestPlacement, Stage
+from .outcomes import CANCEL_WAIT, may_join, may_try_again, outcome_of, overtime
 from .placement import coldness
 from .records import LATENESS, UNNUMBERED_LIFETIME
 
@@ -51,16 +52,10 @@
 CLAIM_PATIENCE = LATENESS / 2
 """How long a claimed request may wait here; see ``records.LATENESS``."""
 
-OVERTIME = 10.0
-"""How long a claimed request may run on past its deadline: its caller may come
-back for the answer, while a cancelled one stays unknown."""
-
-CANCEL_WAIT = 1.0
 PARK_AFTER = 0.05
 """Seconds that a request keeps its slot while its claim is asked for; an answer
 takes a few milliseconds. Longer, and a dead member costs the live ones slots."""
 RELAYS_LIMIT = 2
-RETRIES_LIMIT = 1
 
 Handler = Callable[[Any, float, Any], None]
 
@@ -84,18 +79,6 @@
     return register
 
 
-class PlacementLike(Protocol):
-    """What this module needs of ``placement.Placement``."""
-
-    def choose_for_request(
-        self, now: float, slots_needed: int, local: Load, forced: bool = False
-    ) -> str | None:
-        """Return the peer that should run a request, or None for this agent."""
-
-    def handed(self, now: float, peer: str, slots: int = 1) -> None:
-        """Note that work was handed to ``peer``."""
-
-
 class Requests:
     """The requests of one agent.
 
@@ -107,7 +90,7 @@
         The service of its target.
     rng : random.Random
         The only source of randomness.
-    placement : PlacementLike, optional
+    placement : RequestPlacement, optional
         Chooses a peer for a request; without it everything runs here.
     """
 
@@ -116,7 +99,7 @@
         name: str,
         service: Service,
         rng: random.Random,
-        placement: PlacementLike | None = None,
+        placement: RequestPlacement | None = None,
     ) -> None:
         self._name = name
         self._service = service
@@ -276,7 +259,7 @@
             return
         if self._try_again(now, item, event, was_relayed):
             return
-        self._conclude(item, self._outcome(item, event))
+        self._conclude(item, outcome_of(item, event))
 
     @_handles(RequestCancelled)
     def _cancel(self, now: float, event: RequestCancelled) -> None:
@@ -336,7 +319,7 @@
         What goes wrong otherwise: a target hangs, and its requests hold their
         slots for good. It shows as slots in use and nothing finished.
         """
-        if item.event.deadline <= 0 or now < item.event.deadline + _overtime(item):
+        if item.event.deadline <= 0 or now < item.event.deadline + overtime(item):
             return
         if item.cancelled_at is None:
             item.cancelled_at = now
@@ -397,7 +380,7 @@
         """Join the copy of this request that is open here already."""
         key = item.event.key
         leader = self._open.leader(key)
-        if leader is not None and _may_join(item, leader):
+        if leader is not None and may_join(item, leader):
             self._open.follow(item, leader)
             self._raise_attempt(now, leader, item.attempt)
             if leader.stage in (Stage.RUNNING, Stage.RELAYED):
@@ -449,7 +432,7 @@
             return
         if event.started:
             self.claims.failed(now, key)
-            self._conclude(item, self._outcome(item, event))
+            self._conclude(item, outcome_of(item, event))
             return
         self.claims.unstarted(now, key)
         refusal = self.admission.refuse(now, item.event.kind, event.outcome.code)
@@ -467,11 +450,7 @@
     def _try_again(
         self, now: float, item: Open, event: RequestFinished, was_relayed: bool
     ) -> bool:
-        if event.outcome.kind not in (OutcomeKind.NOT_RUN, OutcomeKind.UNKNOWN):
-            return False
-        if event.started and not item.event.idempotent:
-            return False
-        if item.retries >= RETRIES_LIMIT or now >= item.deadline:
+        if not may_try_again(now, item, event):
             return False
         if not self.admission.credit(item.event.kind):
             return False
@@ -490,16 +469,6 @@
         self._admit(now, item)
         return True
 
-    def _outcome(self, item: Open, event: RequestFinished) -> Outcome:
-        """Return what the caller may be told of a request that failed."""
-        outcome = event.outcome
-        if item.cancelled_at is not None:
-            kind = OutcomeKind.UNKNOWN if event.started else OutcomeKind.NOT_RUN
-            return Outcome(kind, Code.DEADLINE_EXPIRED)
-        if event.started and outcome.kind is OutcomeKind.NOT_RUN:
-            return Outcome(OutcomeKind.UNKNOWN, outcome.code)
-        return outcome
-
     def _settle(self, now: float, settled: Settled) -> None:
         item = self._open.get(settled.request)
         if item is None:
@@ -512,15 +481,23 @@
     def _granted(self, now: float, answer: tuple[Open, Settled]) -> None:
         item, _ = answer
         if item.stage is Stage.PARKED:
-            item.stage = Stage.QUEUED
-            self.claims.unstarted(now, item.event.key)
-            kind = item.event.kind
-            self.admission.requeue(now, item.number, kind, item.deadline)
+            self._unpark(now, item)
             return
         item.stage = Stage.RUNNING
         self._effects.append(Run(item.number))
         self._effects += [JoinRequest(number, item.number) for number in item.followers]
 
+    def _unpark(self, now: float, item: Open) -> None:
+        kind = item.event.kind
+        self.claims.unstarted(now, item.event.key)
+        if self._leaving:
+            # What goes wrong otherwise: a claim that comes seconds later, as
+            # from an owner that was paused, gives a leaving target new work.
+            self._refuse(now, item, self.admission.refuse(now, kind, Code.LEAVING))
+            return
+        item.stage = Stage.QUEUED
+        self.admission.requeue(now, item.number, kind, item.deadline)
+
     @_settles(ClaimState.RUNNING, ClaimState.FINISHED)
     def _elsewhere(self, now: float, answer: tuple[Open, Settled]) -> None:
         item, settled = answer
@@ -596,18 +573,3 @@
 
 def _is_leaving(member: Member | None) -> bool:
     return member is not None and member.state is AgentState.LEAVING
-
-
-def _may_join(item: Open, leader: Open) -> bool:
-    # What goes wrong: two agents each relay their copy of one request to the
-    # other, each copy joins the one that was relayed away, and all of them
-    # wait for ever. So a relayed copy never joins a relayed one; the claim
-    # decides which of the copies runs.
-    return not (item.event.relayed_by and leader.stage is Stage.RELAYED)
-
-
-def _overtime(item: Open) -> float:
-    if not item.claimed:
-        return 0.0
-    # A peer to which the request was relayed gives up first.
-    return OVERTIME + (2 * CANCEL_WAIT if item.stage is Stage.RELAYED else 0.0)
