Forward packets of open connections from the buffer they were read into

Cause: an entry copied each packet three times and made an address and a clock reading that only openings need. Change: a short-header packet is read behind the room of its tunnel header and sent from there.

--- a/packages/zinniahook-core/src/zinniahook_core/entries.py
+++ b/packages/zinniahook-core/src/zinniahook_core/entries.py
@@ -137,22 +137,38 @@
         """
         if service.protocol is Protocol.UDP:
             return self._route_udp(now, service, caller)
-        if self._connection_ids is None:
-            return Code.SERVICE_UNKNOWN
         destination = destination_of(payload)
         if isinstance(destination, Code):
             return destination
         is_long, connection_id = destination
+        agent = self.route_established(service, connection_id)
+        if agent is Code.CONNECTION_ID_UNKNOWN and is_long:
+            return self._route_opening(now, service, caller, connection_id)
+        return agent
+
+    def route_established(
+        self, service: Service, connection_id: bytes
+    ) -> Address | Code:
+        """Return the agent that drew a connection id, by the id alone.
+
+        Returns
+        -------
+        Address
+            The tunnel address of the agent.
+        Code
+            Why the datagram is dropped, or CONNECTION_ID_UNKNOWN if no agent
+            drew the id.
+        """
+        if self._connection_ids is None:
+            return Code.SERVICE_UNKNOWN
         owner = self._connection_ids.decode(connection_id)
-        if isinstance(owner, Owner):
-            # A packet of one service must never reach another's target, so
-            # an id that was issued under another address goes no further.
-            if owner.service != service.number:
-                return Code.SERVICE_MISMATCH
-            return owner.agent
-        if not is_long:
-            return Code.CONNECTION_ID_UNKNOWN
-        return self._route_opening(now, service, caller, connection_id)
+        if not isinstance(owner, Owner):
+            return owner
+        # A packet of one service must never reach another's target, so an id
+        # that was issued under another address goes no further.
+        if owner.service != service.number:
+            return Code.SERVICE_MISMATCH
+        return owner.agent
 
     def answered(
         self, now: float, service: str, caller: Address, agent: Address
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/entries.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Iterable
 from functools import partial
@@ -19,6 +20,7 @@
 from zinniahook_core.entries import EntryCore
 from zinniahook_core.events import ConfigurationChanged, RosterChanged, Tick
 from zinniahook_core.models import Address, Configuration, Protocol, Roster, Service
+from zinniahook_core.routing import LONG_HEADER, SHORT_HEADER
 from zinniahook_wire.tunnels import (
     NO_ADDRESS,
     OVERHEAD,
@@ -30,7 +32,7 @@
 
 from .control import StatusFields
 from .node import Node
-from .sockets import UdpSocket
+from .sockets import BATCH, LARGEST, UdpSocket
 
 __all__ = ["Entry", "serve"]
 
@@ -73,14 +75,29 @@
     empty for another protocol.
     """
 
-    __slots__ = ("bound", "prefix", "service")
+    __slots__ = ("_entry", "bound", "prefix", "service")
 
     def __init__(self, entry: Entry, service: Service, address: Address) -> None:
         self.service = service
         self.bound = address
         self.prefix = entry.prefix(service)
+        self._entry = entry
         super().__init__(address, partial(entry.forward, self))
 
+    def _read(self) -> None:
+        """Read what has come in, packets of open connections by a shortcut."""
+        entry = self._entry
+        room = entry.payload_room
+        receive_into = self._socket.recvfrom_into
+        shortcut = bool(self.prefix)
+        with contextlib.suppress(OSError):
+            for _ in range(BATCH):
+                size, source = receive_into(room)
+                if shortcut and size >= SHORT_HEADER and room[0] < LONG_HEADER:
+                    entry.forward_established(self, size, source)
+                else:
+                    entry.forward(self, bytes(room[:size]), source)
+
 
 class Entry:
     """Routes between callers and agents.
@@ -100,6 +117,11 @@
         self._send = node.tunnel_sender
         self._tunnel: Tunnel
         self._generation = 0
+        self._forwarded = 0
+        # One datagram at a time: it is read behind the room for its tunnel
+        # header, and sent from there without being copied.
+        self._room = memoryview(bytearray(OVERHEAD + LARGEST))
+        self.payload_room = self._room[OVERHEAD:]
         node.on_tunnel(self._answer)
         node.on_configuration(self._configure)
         node.on_roster(self._learn_roster)
@@ -126,13 +148,31 @@
             self._drop(agent)
             return
         if socket.prefix:
-            data = self._tunnel.wrap(socket.prefix, caller, payload)
+            data = self._tunnel.wrapper(socket.prefix, caller) + payload
         else:
             data = self._encode(service, caller, payload)
-        if not self._send(data, agent):
-            self._drop(Code.SOCKET_FULL)
+        self._to_agent(data, agent)
+
+    def forward_established(
+        self, socket: ServiceSocket, size: int, source: tuple
+    ) -> None:
+        """Route a short-header packet that stands in the payload room."""
+        if size > LONGEST_PAYLOAD:
+            self._drop(Code.DATAGRAM_TOO_LONG)
+            return
+        connection_id = self.payload_room[1:SHORT_HEADER].tobytes()
+        agent = self._core.route_established(socket.service, connection_id)
+        if isinstance(agent, Code):
+            self._drop(agent)
             return
-        self._counters["entry.to_agents"] += 1
+        self._room[:OVERHEAD] = self._tunnel.wrapper(socket.prefix, source[:2])
+        self._to_agent(self._room[: OVERHEAD + size], agent)
+
+    def _to_agent(self, data: bytes | memoryview, agent: Address) -> None:
+        if self._send(data, agent):
+            self._forwarded += 1
+        else:
+            self._drop(Code.SOCKET_FULL)
 
     def prefix(self, service: Service) -> bytes:
         """Return what the tunnel headers of a QUIC service's packets share."""
@@ -241,6 +281,8 @@
         self._handle(RosterChanged(roster))
 
     def _tick(self) -> None:
+        self._counters["entry.to_agents"] += self._forwarded
+        self._forwarded = 0
         self._handle(Tick())
 
     def _handle(self, event: Any) -> None:
--- a/packages/zinniahook-wire/src/zinniahook_wire/tunnels.py
+++ b/packages/zinniahook-wire/src/zinniahook_wire/tunnels.py
@@ -192,19 +192,20 @@
         return b"".join((header, digest.digest(), payload))
 
     def prefix(self, kind: TunnelKind, service: int, generation: int) -> bytes:
-        """Encode what the headers of many bare datagrams share; see `wrap`."""
+        """Encode what the headers of many bare datagrams share; see `wrapper`."""
         return _PREFIX.pack(self.key, kind, _VERSION | _BARE, 0, service, generation)
 
-    def wrap(self, prefix: bytes, caller: tuple[str, int], payload: bytes) -> bytes:
-        """Encode a bare datagram that names no entry, under this key.
+    def wrapper(self, prefix: bytes, caller: tuple[str, int]) -> bytes:
+        """Encode what stands in front of a bare payload that names no entry.
 
-        The same as `encode` with ``covered`` False, for the packet path of an
-        entry: ``caller`` is an address as a socket gives it.
+        With the payload behind it, it is what `encode` returns with
+        ``covered`` False. It is the packet path of an entry: ``caller`` is an
+        address as a socket gives it.
         """
-        header = b"".join((prefix, _pack_address(caller), _NO_ADDRESS_PACKED))
+        header = prefix + _pack_address(caller) + _NO_ADDRESS_PACKED
         digest = self._copy()
         digest.update(header)
-        return b"".join((header, digest.digest(), payload))
+        return header + digest.digest()
 
     def decode(self, data: bytes) -> TunnelDatagram | Code:
         """Check and decode a datagram; never raises, whatever the bytes.
