Ask the callers to go whose requests run at a leaving peer

Cause: an agent passes requests on to peers; one that left asked only the callers of its own connections for new ones, so a feed that it ran for a peer's caller held it up until it was cut. A caller in its handshake at that moment heard nothing either. Change: agents ask the callers whose requests run at a leaving peer, and a connection that is established later is told then.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/agents.py
@@ -217,6 +217,10 @@
             return
         self.feed(RosterChanged(roster))
         self.roster = self.core.roster
+        members = self.roster.by_name.values()
+        self.traffic.leave(
+            {one.name for one in members if one.state is AgentState.LEAVING}
+        )
         self.runs.relays.keep(
             {
                 member.control
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/runs.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/runs.py
@@ -196,6 +196,7 @@
             self._feed(RequestFinished(exchange.number, outcome, False))
             return
         self._node.count("agent.relayed")
+        exchange.relayed_to = effect.peer
         self._start(exchange, self.relays.run(exchange, peer.control))
 
     def _startable(self, request: int) -> Exchange | None:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/traffic.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING, Any
 
 from aioquic.h3.connection import ErrorCode
@@ -57,6 +57,7 @@
         self._ids: ConnectionIds | None = None
         self._paths = Paths(agent.rng)
         self._restarting = False
+        self._leaving: bool | None = None
         self._opening: TunnelDatagram | None = None
         self._opened: Opening | None = None
         self.flows = UdpFlows(settings.target, self._answer_flow)
@@ -106,9 +107,15 @@
 
     def go_away(self, final: bool) -> None:
         """Ask every caller for a new connection."""
+        self._leaving = final
         for connection in self.connections:
             connection.session.go_away(final)
 
+    def leave(self, peers: Collection[str]) -> None:
+        """Ask the callers whose requests run at leaving peers."""
+        for connection in self.connections:
+            connection.session.leave(peers)
+
     def close_idle(self) -> None:
         """End connections that were asked to go and have nothing open."""
         for connection in self.connections:
@@ -158,7 +165,10 @@
             self._to_caller(caller, other, payload)
 
     def _begin(self, connection: ServerConnection) -> Http3Session:
-        return Http3Session(connection, self.agent.runs, self.connections.touch)
+        session = Http3Session(connection, self.agent.runs, self.connections.touch)
+        if self._leaving is not None:
+            session.go_away(self._leaving)
+        return session
 
     def _switch(self, connection: ServerConnection) -> None:
         """Answer by way of another entry: this one's answers get lost."""
