Keep feeds whole over drains and a rolling restart

Cause: a leaving agent cut what lasted longer than the service's drain setting, 30 s by default, and feeds last for hours.

--- a/packages/zinniahook-core/src/zinniahook_core/schema.py
+++ b/packages/zinniahook-core/src/zinniahook_core/schema.py
@@ -124,7 +124,7 @@
         _read_address, str, "address", "where callers reach it", required=True
     ),
     "protocol": Field(_read_protocol, str, "'quic' or 'udp'", "what callers speak"),
-    "drain": _number(0.1, 86400.0, "seconds a leaving target has to finish"),
+    "drain": _number(0.1, 604800.0, "seconds a leaving target has to finish"),
     "idle": _number(1.0, 86400.0, "seconds without a packet that end a UDP flow"),
     "targets": _texts("name patterns of the instances that may serve it"),
     "data_centres": _texts("data centres that may serve it; none listed: all"),
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/loads.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/loads.py
@@ -15,9 +15,10 @@
 from typing import Any, NamedTuple, TypedDict
 
 from hdrh.histogram import HdrHistogram
-from zinniahook_caller import Http3Adapter, Session
+from zinniahook_caller import Http3Adapter, Session, Spread
 
 __all__ = [
+    "LONGEST",
     "MICROSECONDS",
     "Load",
     "LoadPlan",
@@ -31,6 +32,7 @@
 MICROSECONDS = 1_000_000
 LONGEST = 600 * MICROSECONDS
 SIGNIFICANT_FIGURES = 3
+SPREAD = 2.0
 
 
 class LoadPlan(TypedDict, total=False):
@@ -38,7 +40,8 @@
 
     ``rate`` is calls a second of all ``callers`` together; ``every`` the
     seconds between the lines of a feed or the datagrams of a flow; ``size``
-    the bytes of an export.
+    the bytes of an export; ``spread`` the seconds over which the feeds of a
+    leaving target are opened anew, 2 if not given.
     """
 
     kind: str
@@ -50,6 +53,7 @@
     every: float
     size: int
     deadline: float
+    spread: float
 
 
 class Plan(TypedDict):
@@ -142,6 +146,7 @@
             plan["address"],
             ca=self._ca,
             deadline=plan.get("deadline", 10.0),
+            spread=Spread(plan.get("spread", SPREAD)),
             rng=random.Random(self._rng.random()),
         )
         self._sessions.append(session)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -249,6 +249,40 @@
 
         fresh.run(check(fresh.cluster))
 
+    def test_an_ordinary_clients_feed_is_not_cut(self, fresh):
+        """A planned stop cuts the feed of a client that heeds no GOAWAY.
+
+        Symptom: a foreman's tally ends when a target is replaced.
+        Sequence: a feed of aioquic's plain client is open; the agents that
+        could have its connection or its target are told to leave.
+        Cause: a leaving agent closed what was open after a deadline that was
+        shorter than a feed.
+        """
+
+        async def check(cluster):
+            async with plain_client(cluster, "tally") as client:
+                path = b"/tally/feed?every=0.02&count=200"
+                reading = asyncio.create_task(client.request(b"GET", path))
+
+                async def lines(least):
+                    bodies = client.answers_by_stream.values()
+                    return sum(body.count(b"\n") for body in bodies) >= least
+
+                await cluster.until(lambda: lines(10), "the feed has begun")
+                # One has its connection, perhaps another its target.
+                agents = [cluster.drain_agent(f"tally-{n}") for n in (1, 2, 3)]
+
+                async def left():
+                    return any(not agent.running for agent in agents)
+
+                await cluster.until(left, "an agent without work has ended")
+                status, body = await reading
+                assert status == b"200"
+                numbers = [json.loads(line)["n"] for line in body.splitlines()]
+                assert numbers == list(range(1, 201))
+
+        fresh.run(check(fresh.cluster))
+
 
 class TestSilence:
     def test_feed_goes_on_from_a_new_port(self, deployed):
