Let a grant that was never used say nothing in a lookup

Cause: a runner answered a lookup with a grant of an older roster that it had never used, which outdid the refusal of that request; a late copy of the refused attempt then ran. The new test fails without it.

--- a/packages/zinniahook-core/src/zinniahook_core/arbiters.py
+++ b/packages/zinniahook-core/src/zinniahook_core/arbiters.py
@@ -107,7 +107,7 @@
             self._effects.append(Count("claims.view_stale"))
             return None
         record = self._records.get(now, ask.key)
-        if record is not None and (record.ran or _is_late(ask, record)):
+        if self._is_word(ask, record):
             answer = tell(now, self._view, ask, record)
         else:
             answer = ClaimAnswer(ask.number, ask.key, ClaimState.NONE, "")
@@ -148,6 +148,19 @@
         """Forget the lookups made under an older roster; askers ask again."""
         self._lookups.drop_all()
 
+    def _is_word(self, ask: ClaimAsk, record: Record | None) -> bool:
+        """Tell whether a record says something in a lookup.
+
+        A grant to this very agent that it hasn't used says nothing: it was
+        asked for under an older roster and is void. Taken for a run, it would
+        outdo a refusal that came after it.
+        """
+        if record is None:
+            return False
+        if record.state is ClaimState.GRANTED and record.runner == self._view.name:
+            return False
+        return record.ran or _is_late(ask, record)
+
     def _missing(self, now: float, lookup: Lookup) -> int:
         """Count the losses and silent members that may hide a claim."""
         own = self._losses(now, lookup.ask, lookup.waiting)
@@ -168,12 +181,13 @@
         ask = lookup.ask
         missing = self._missing(now, lookup)
         own = self._records.get(now, ask.key)
-        if own is not None:
+        if self._is_word(ask, own):
             told = tell(now, self._view, ask, own)
             lookup.answers_by_name[self._view.name] = told
         finding = lookup.finding()
         if finding is None:
-            self._records.remove(ask.key)
+            if own is not None and own.ran:
+                self._records.remove(ask.key)
         elif finding.name != self._view.name:
             self._learn(now, ask, finding)
         record = self._records.get(now, ask.key)
--- a/packages/zinniahook-core/tests/test_claims.py
+++ b/packages/zinniahook-core/tests/test_claims.py
@@ -5,7 +5,7 @@
 from zinniahook_core import records
 from zinniahook_core.claims import GRANT_LIFETIME
 from zinniahook_core.codes import Code, OutcomeKind
-from zinniahook_core.events import RequestArrived
+from zinniahook_core.events import RequestArrived, RequestCancelled
 from zinniahook_core.messages import ClaimRecord, ClaimState
 from zinniahook_core.models import AgentState
 from zinniahook_core.records import KEY_LIFETIME, Records, granted, refused
@@ -309,6 +309,28 @@
         group.deliver()
         assert group.ran(first) == []
 
+    def test_grant_that_was_never_used_does_not_outdo_a_refusal(self):
+        """
+        Symptom: a request runs after its caller was told that it didn't.
+        Sequence: an owner grants itself a request, but its caller goes; the
+        owner leaves; the request is refused elsewhere; a late copy arrives.
+        Cause: a grant that was never used was taken for a run.
+        """
+        group = Group()
+        owner, second, third, _ = group.ranked()
+        group.blocked = {(owner, name) for name in "abcd"}
+        group.request(owner, 1)
+        group.feed(owner, RequestCancelled(1))
+        group.blocked.clear()
+        group.set(owner, AgentState.LEAVING)
+        group.request(third, 2, deadline=group.now - 1)
+        group.run(1)
+        assert group.outcome(third, 2).kind is NOT_RUN
+        group.request(second, 3, attempt=1)
+        group.request(owner, 4, attempt=1, relayed_by=second)
+        group.run(1)
+        assert group.ran(second) + group.ran(owner) == []
+
     @pytest.mark.parametrize("told", [True, False])
     def test_new_life_of_a_name_vouches_for_nothing(self, told):
         """
