--- a/packages/zinniahook-core/src/zinniahook_core/liveness.py
+++ b/packages/zinniahook-core/src/zinniahook_core/liveness.py
@@ -15,13 +15,14 @@
 from dataclasses import dataclass
 
 from . import rendezvous
-from .heartbeats import HEARTBEAT_INTERVAL
+from .heartbeats import HEARTBEAT_INTERVAL, interval_for
 from .messages import Heartbeat
 from .models import AgentState, Load, Member, Roster
 
 __all__ = ["MARK_DOWN_AFTER", "Liveness"]
 
-SILENT_AFTER = 2.5
+SILENT_BEATS = 2.5
+SILENT_AT_LEAST = 1.5
 MARK_DOWN_AFTER = 5.0
 LONGEST_SILENCE = 20.0
 FALSE_MARK = 1e-9
@@ -60,16 +61,15 @@
         self.load = heartbeat.load
         self.leaving = self.leaving or heartbeat.leaving
 
-    @property
-    def patience(self) -> float:
-        """How long a silence, in seconds, chance alone doesn't explain.
+    def patience(self, interval: float) -> float:
+        """Return how long a silence, in seconds, chance alone doesn't explain.
 
         What goes wrong: on a path that loses every third heartbeat, runs of
         five lost ones are common, and each would cut the flows of an agent
         that is alive. One notices the loss by gaps in the sequence.
         """
         run = math.log(FALSE_MARK) / math.log(self.loss)
-        return min(LONGEST_SILENCE, max(MARK_DOWN_AFTER, run * HEARTBEAT_INTERVAL))
+        return min(LONGEST_SILENCE, max(MARK_DOWN_AFTER, run * interval))
 
 
 class Liveness:
@@ -87,6 +87,7 @@
         self._patience_by_name: dict[str, int] = {}
         self._down_since_by_name: dict[str, float] = {}
         self._own_patience = 1
+        self._interval = HEARTBEAT_INTERVAL
 
     def learn(self, now: float, roster: Roster) -> None:
         """Take over a roster: new incarnations start with a fresh clock."""
@@ -96,6 +97,7 @@
             for member in roster.by_name.values()
             if member.name != self._name and member.state is not AgentState.DOWN
         }
+        self._interval = interval_for(len(self._sightings_by_name))
         down = [m.name for m in roster.by_name.values() if m.state is AgentState.DOWN]
         since = self._down_since_by_name
         self._down_since_by_name = {name: since.get(name, now) for name in down}
@@ -139,7 +141,8 @@
     def silent(self, now: float, name: str) -> bool:
         """Tell whether nothing came from a peer for a short while."""
         sighting = self._sightings_by_name.get(name)
-        return sighting is None or now - sighting.at > SILENT_AFTER
+        limit = max(SILENT_AT_LEAST, SILENT_BEATS * self._interval)
+        return sighting is None or now - sighting.at > limit
 
     def leaving(self, name: str) -> bool:
         """Tell whether a peer's own heartbeats said that it leaves."""
@@ -200,10 +203,11 @@
         if sighting is None or sighting.incarnation != member.incarnation:
             return False
         silence = now - sighting.at
-        if silence <= sighting.patience:
+        patience = sighting.patience(self._interval)
+        if silence <= patience:
             return False
         markers = {self._name, *self.live(now)}
-        wait = sighting.patience * self._patience_by_name.get(member.name, 1)
+        wait = patience * self._patience_by_name.get(member.name, 1)
         if len(markers) == 1:
             # Who hears nobody may be the one that is cut off. If it is, the
             # others mark it down first and its own write then conflicts.
