--- a/packages/zinniahook-testkit/src/zinniahook_testkit/experiments.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/experiments.py
@@ -176,6 +176,7 @@
     return [
         Figure("tickets", len(records), "count"),
         Figure("feeds", counts["feeds_opened"], "count"),
+        Figure("feeds reopened", counts["feeds_reopened"], "count"),
         Figure("attempts cut", counts["cut_attempts"], "count"),
         Figure("refused share", refused / total, "share"),
         Figure("unknown share", unknown / total, "share"),
