Measure an agent's control at its own heartbeat interval; bound the slopes

Cause: the slope of agent control heard a beat a second where peers send four, and the memory of a flow was measured on an agent that had opened none. Change: peers beat as the core does; flows are opened at a ready agent, and the scenario fails if one isn't.

--- a/packages/zinniahook-testkit/src/zinniahook_testkit/decisions.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/decisions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from . import atmostonce, imbalance, overload
 from .imbalance import SIZES, Imbalance, Reports
@@ -16,7 +16,7 @@
 
 @scenario("imbalance")
 def measure_imbalance(
-    sizes: Sequence[str], policies: Sequence[str], seconds: float, seed: int = 1
+    seconds_by_size: Mapping[str, float], policies: Sequence[str], seed: int = 1
 ) -> list[Figure]:
     """Compare placement with the baselines at sizes, for each kind of report.
 
@@ -25,8 +25,9 @@
     """
     figures = []
     for size in SIZES:
-        if size.name not in sizes:
+        if size.name not in seconds_by_size:
             continue
+        seconds = seconds_by_size[size.name]
         runs_by_reports = {
             reports: {
                 policy: imbalance.measure(size, policy, reports, seed, seconds)
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/slopes.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/slopes.py
@@ -25,6 +25,7 @@
     RosterChanged,
     Tick,
 )
+from zinniahook_core.heartbeats import interval_for
 from zinniahook_core.messages import Heartbeat
 from zinniahook_core.models import (
     Address,
@@ -43,6 +44,7 @@
 from zinniahook_wire.rosters import Rosters
 from zinniahook_wire.tunnels import Tunnel, TunnelDatagram, TunnelKind
 
+from .changes import SERVICE, SETTLE, World
 from .scenarios import Figure, scenario
 
 __all__ = ["AgentCost", "agent_cost", "configuration", "member", "roster"]
@@ -102,8 +104,7 @@
 def agent_cost(peer_count: int, seconds: int = 20, seed: int = 1) -> AgentCost:
     """Drive one agent among ``peer_count`` peers through ``seconds`` of control.
 
-    Each peer's heartbeat is decoded and handled once a second, as a daemon
-    would; what the core wants sent is encoded and put into a tunnel datagram.
+    Each peer's heartbeats are decoded and handled, as many as it sends; what the core wants sent is encoded and put into a tunnel datagram.
     """
     service = "service-1"
     members = roster(service, peer_count + 1)
@@ -113,11 +114,13 @@
     core.handle(0.0, RosterChanged(members))
     tunnel = Tunnel({1: Key(1, SECRET)}, 1)
     sent = messages = 0
+    beat_at = 0.0
     started = time.process_time()
     for tick in range(seconds * TICKS_PER_SECOND):
         now = tick / TICKS_PER_SECOND
         effects = core.handle(now, Tick())
-        if tick % TICKS_PER_SECOND == 0:
+        if now >= beat_at:
+            beat_at += interval_for(peer_count)
             for peer in others:
                 effects += _hear(core, now, peer, tick, tunnel)
         for effect in effects:
@@ -167,16 +170,17 @@
 def measure_agent(peer_counts: Sequence[int], seconds: int = 20) -> list[Figure]:
     """Fit processor time, bytes and messages of one agent against its peers."""
     costs = [agent_cost(count, seconds) for count in peer_counts]
-    figures = []
-    for name, unit, values in (
-        ("processor", "s/s", [cost.processor for cost in costs]),
-        ("sent", "B/s", [cost.sent for cost in costs]),
-        ("messages", "1/s", [cost.messages for cost in costs]),
-    ):
-        slope, base = _slope(peer_counts, values)
-        figures.append(Figure(f"{name} per peer", slope, unit))
-        figures.append(Figure(f"{name} base", base, unit))
-        figures.append(Figure(f"{name} at {peer_counts[-1]} peers", values[-1], unit))
+    per_peer, base = _slope(peer_counts, [cost.processor for cost in costs])
+    figures = [
+        Figure("processor per peer", per_peer, "s/s"),
+        Figure("processor base", base, "s/s"),
+    ]
+    for count, cost in zip(peer_counts, costs, strict=True):
+        figures += [
+            Figure(f"processor at {count} peers", cost.processor, "s/s"),
+            Figure(f"sent at {count} peers", cost.sent, "B/s"),
+            Figure(f"messages at {count} peers", cost.messages, "1/s"),
+        ]
     return figures
 
 
@@ -311,10 +315,17 @@
     return core
 
 
-def _agent_with_flows(count: int, seed: int) -> AgentCore:
-    core = _agent(0, seed)
-    entry = Address("10.0.0.9", 7000)
+def _agent_with_flows(count: int, seed: int) -> World:
+    """Make one ready agent alone in its service, with open UDP flows."""
+    world = World(agents=1, entries=1, seed=seed)
+    world.run_until(SETTLE)
+    (agent,) = world.agents_by_name.values()
+    entry = Address("10.2.0.1", 7000)
     for index in range(count):
-        caller = Address(f"10.8.{index >> 16}.{index >> 8 & 255}", 1024 + index % 256)
-        core.handle(0.2, FlowDatagram("service-1", caller, entry, b"x" * 20))
-    return core
+        caller = Address(f"10.8.{index >> 8}.{index & 255}", 1024)
+        agent.feed(FlowDatagram(SERVICE, caller, entry, b"x" * 20))
+    if len(world.owners_by_caller) != count:
+        raise RuntimeError(f"{len(world.owners_by_caller)} of {count} flows opened")
+    world.arrived.clear()
+    world.owners_by_caller.clear()
+    return world
