Test feeds that a peer runs; end the demo's drains

Cause: no test passed a feed on to a peer that then leaves, and the demo didn't look whether a drained target ends. Change: a test with one caller's 8 feeds spread over peers, one of which drains; the demo counts a drained agent that doesn't end as a violation and prints how many feeds were opened anew.

--- a/packages/zinniahook-testkit/src/zinniahook_testkit/checks.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/checks.py
@@ -166,6 +166,7 @@
     work_max_to_mean: float
     work_variation: float
     streams_max_to_mean: float
+    feeds_reopened: int
     quantiles_by_path: Mapping[str, Mapping[str, float]]
 
 
@@ -195,6 +196,7 @@
         work_max_to_mean=_max_to_mean(work),
         work_variation=_variation(work),
         streams_max_to_mean=_max_to_mean(streams),
+        feeds_reopened=counts["feeds_reopened"],
         quantiles_by_path={each["path"]: each["quantiles"] for each in results},
     )
 
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/demo.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/demo.py
@@ -22,8 +22,9 @@
 from zinniahook_core.configuration import Document
 
 from .checks import Evidence, Summary, Violation, check, summarize
-from .clusters import Cluster
+from .clusters import Cluster, NotSettledError
 from .deployments import DEPLOYMENTS_BY_NAME, Deployment
+from .processes import Process
 
 __all__ = ["Report", "main", "run"]
 
@@ -80,8 +81,7 @@
         await cluster.kill_entry("entry-1")
         await asyncio.sleep(BETWEEN)
         leaving = [f"{service.name}-1" for service in deployment.services]
-        for name in leaving:
-            cluster.drain_agent(name)
+        agents = [cluster.drain_agent(name) for name in leaving]
         await asyncio.sleep(BETWEEN)
         changed_at = time.monotonic()
         generation = await cluster.change(_longer_queues)
@@ -90,10 +90,15 @@
         await asyncio.sleep(max(0.0, NO_NEW_WORK - BETWEEN - in_force))
         left = {name: await cluster.ledger(name) for name in leaving}
         await asyncio.sleep(BETWEEN)
+        # While feeds go on elsewhere: nothing may hold a leaving target up.
+        staying = await _still_running(cluster, dict(zip(leaving, agents, strict=True)))
         results = [result for load in loads for result in await load.finish()]
         ledgers = await cluster.ledgers()
     evidence = Evidence(tuple(ledgers), tuple(results), left)
     violations = check(evidence)
+    violations += [
+        Violation("a drained target ends", name, "still running") for name in staying
+    ]
     if in_force > IN_FORCE:
         detail = f"generation {generation} took {in_force:.1f} s"
         violations.append(
@@ -108,6 +113,17 @@
     )
 
 
+async def _still_running(cluster: Cluster, agents: dict[str, Process]) -> list[str]:
+    """Return the names of the drained agents that don't end in time."""
+
+    async def ended() -> bool:
+        return not any(agent.running for agent in agents.values())
+
+    with contextlib.suppress(NotSettledError):
+        await cluster.until(ended, "the drained agents have ended")
+    return [name for name, agent in agents.items() if agent.running]
+
+
 def main(*deployments: str, seed: int = 1) -> None:
     """Run the demonstration.
 
@@ -184,7 +200,10 @@
 def _streams(summary: Summary) -> str:
     if not summary.streams_max_to_mean:
         return ""
-    return f"; streams: max/mean {summary.streams_max_to_mean:.2f}"
+    return (
+        f"; streams: max/mean {summary.streams_max_to_mean:.2f},"
+        f" {summary.feeds_reopened} opened anew elsewhere"
+    )
 
 
 def _print(report: Report) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -28,6 +28,9 @@
 PLAN = TALLY._replace(targets=3, loads=(FEEDS, TICKETS))
 DEPLOYMENT = Deployment("small", ("east", "west"), 2, 0.0, (PLAN,))
 
+# Here a feed holds a slot like any other request, so peers share them.
+WITHOUT_CLASSES = DEPLOYMENT._replace(services=(PLAN._replace(classes=()),))
+
 PULSE = ServicePlan(name="pulse", number=2, targets=2, slots=4, protocol="udp")
 UDP = DEPLOYMENT._replace(services=(PULSE,))
 
@@ -284,6 +287,44 @@
 
         run(scenario)
 
+    def test_feeds_that_a_peer_runs_go_on_too(self, run):
+        """
+        Symptom: a drain doesn't end though every caller follows GOAWAY.
+        Sequence: one caller's feeds arrive at one agent, which passes some on
+        to its peers; a peer drains.
+        Cause: the peer asked only the callers of its own connections to go.
+        """
+
+        async def scenario(cluster, amina):
+            address = cluster.addresses_by_service["tally"]
+            ca, spread = str(cluster.authority.file), zinniahook_caller.Spread(1.0)
+            async with contextlib.AsyncExitStack() as stack:
+                caller = zinniahook_caller.Session(address, ca=ca, spread=spread)
+                await stack.enter_async_context(caller)
+                feeds = []
+                for _ in range(8):
+                    opening = caller.events("/tally/feed?every=0.1")
+                    feeds.append(await stack.enter_async_context(opening))
+                readings = [asyncio.create_task(follow(feed)) for feed in feeds]
+                replies = await cluster.statuses()
+                # The caller has one connection: here are only passed feeds.
+                peer = max(
+                    (one for one in replies if not one.flows),
+                    key=lambda one: one.busy,
+                )
+                assert peer.busy
+                answer = await amina.run(f"drain target {peer.name}")
+                assert answer.status is Status.OK, answer.text
+                assert answer.facts["safe"] == [peer.name]
+                assert sum(feed.reopened for feed in feeds) >= peer.busy
+                assert not any(feed.cuts for feed in feeds)
+                for reading in readings:
+                    reading.cancel()
+                ends = await asyncio.gather(*readings, return_exceptions=True)
+                assert {type(end) for end in ends} == {asyncio.CancelledError}
+
+        run(scenario, WITHOUT_CLASSES)
+
     def test_an_operator_ends_a_drain_sooner(self, run):
         """
         Symptom: a target can't be replaced for a day.
@@ -437,6 +478,15 @@
         await asyncio.sleep(0.02)
 
 
+async def follow(feed):
+    """Read a feed, whose events must come once and in order."""
+    last = None
+    async for event in feed:
+        number = int(event.id)
+        assert last is None or number == last + 1
+        last = number
+
+
 async def busiest(cluster):
     """Name the agent with the most open streams."""
     replies = await cluster.statuses()
