Run daemons on a clock that goes on while the machine sleeps

Symptom: an agent on a suspended machine would go on after its resumption under an authority that peers had taken over. Sequence: suspend, mark-down, resume. Cause: Linux's monotonic clock stands still meanwhile, so the fence saw no gap. Change: the loop and the cores read the time since boot. Result: test_clocks fails on the plain loop and passes on this one; agent path and entry tests pass. A real suspension was not run.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/main.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/main.py
@@ -12,6 +12,7 @@
 from zinniahook_core.codes import ZinniahookError
 
 from . import logs
+from .clocks import Loop
 from .settings import Role, Settings, SettingsError, load
 
 __all__ = ["main", "zinniahookd"]
@@ -74,7 +75,8 @@
         return 0
     logs.configure(loaded.name)
     try:
-        asyncio.run(_serve(loaded))
+        with asyncio.Runner(loop_factory=Loop) as runner:
+            runner.run(_serve(loaded))
     except (ZinniahookError, OSError) as error:
         logs.log("failed", reason=str(error), code=int(getattr(error, "code", 0)))
         return EXIT_FAILED
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import json
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -21,7 +20,7 @@
 from zinniahook_store import Store
 from zinniahook_wire.tunnels import Tunnel, TunnelDatagram, make_address
 
-from . import logs
+from . import clocks, logs
 from .announcements import Announcement
 from .certificates import Certificates
 from .metrics import Histogram, Metrics
@@ -271,7 +270,7 @@
 
     def now(self) -> float:
         """Return monotonic seconds, as the cores expect them."""
-        return time.monotonic()
+        return clocks.now()
 
     def every(self, seconds: float, callback: Callable[[], None]) -> PeriodicCallback:
         """Call back every so many seconds until the node stops.
--- /dev/null
+++ b/packages/zinniahook-daemon/tests/test_clocks.py
@@ -0,0 +1,34 @@
+"""The clock of a daemon goes on while its machine sleeps."""
+
+import time
+
+from zinniahook_daemon import clocks
+
+
+class TestLoop:
+    def test_a_suspension_shows(self, monkeypatch):
+        """Suspended machine.
+
+        Symptom: an agent goes on after a pause in which peers took over.
+        Sequence: the machine is suspended and resumed. Cause: the monotonic
+        clock stands still meanwhile, the time since boot does not.
+        """
+        slept = 0.0
+        read = time.clock_gettime
+
+        def clock_gettime(clock):
+            return read(clock) + (slept if clock == time.CLOCK_BOOTTIME else 0.0)
+
+        monkeypatch.setattr(time, "clock_gettime", clock_gettime)
+        loop = clocks.Loop()
+        try:
+            fired = []
+            loop.call_later(60.0, fired.append, "timer")
+            before = loop.time()
+            slept = 90.0
+            assert loop.time() - before >= 90.0
+            loop.call_later(0.0, loop.stop)
+            loop.run_forever()
+            assert fired == ["timer"]
+        finally:
+            loop.close()
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/slopes.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/slopes.py
@@ -104,7 +104,8 @@
 def agent_cost(peer_count: int, seconds: int = 20, seed: int = 1) -> AgentCost:
     """Drive one agent among ``peer_count`` peers through ``seconds`` of control.
 
-    Each peer's heartbeats are decoded and handled, as many as it sends; what the core wants sent is encoded and put into a tunnel datagram.
+    Each peer's heartbeats are decoded and handled, as many as it sends; what
+    the core wants sent is encoded and put into a tunnel datagram.
     """
     service = "service-1"
     members = roster(service, peer_count + 1)
