--- a/docs/pages.py
+++ b/docs/pages.py
@@ -17,8 +17,13 @@
 from zinniahook_core import configuration, models, schema
 from zinniahook_core.models import Address
 from zinniahook_daemon.settings import Settings
+from zinniahook_testkit import capacity
 
-OPERATORS = Path(__file__).parent / "operators"
+DOCS = Path(__file__).parent
+OPERATORS = DOCS / "operators"
+RESULTS = DOCS.parent / "bench" / "results"
+TABLE = "<!-- table -->\n"
+TABLE_END = "<!-- end of table -->\n"
 
 KINDS_BY_TYPE = {
     str: "text",
@@ -35,9 +40,17 @@
     return {
         OPERATORS / "settings.md": "\n".join(_settings()) + "\n",
         OPERATORS / "commands.md": "\n".join(_commands()) + "\n",
+        DOCS / "CAPACITY.md": _capacity(),
     }
 
 
+def _capacity() -> str:
+    """Return the capacity page with its table computed again."""
+    before, _, rest = (DOCS / "CAPACITY.md").read_text().partition(TABLE)
+    _, _, after = rest.partition(TABLE_END)
+    return f"{before}{TABLE}\n{capacity.table(RESULTS)}\n\n{TABLE_END}{after}"
+
+
 def _settings() -> Iterator[str]:
     yield "# Settings reference"
     yield ""
--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/capacity.py
@@ -0,0 +1,288 @@
+"""What each role costs at the size to design for, from measured slopes.
+
+Every row is computed from the committed results in ``bench/results`` and the
+sizes below; run ``python docs/pages.py`` after new results.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+__all__ = ["Row", "rows", "table"]
+
+ENTRIES = 7_300
+ENDPOINTS = 37_000
+SERVICES = 5_800
+FLOWS = 120_000_000
+NEW_FLOWS = 690_000
+CHANGES_A_DAY = 13_000
+FAILURES_A_DAY = 100
+RESTARTS_A_DAY = 3_000
+DATA_CENTRES = 4
+
+DAY = 86_400.0
+WRITES_A_FAILURE = 3
+"""Marked down, announced again, ready."""
+
+WRITES_A_RESTART = 4
+"""Leaving, removed, announced, ready."""
+
+TICKS = 10
+PEERS = round(ENDPOINTS / SERVICES)
+ROSTER_CHANGES_A_DAY = (
+    FAILURES_A_DAY * WRITES_A_FAILURE + RESTARTS_A_DAY * WRITES_A_RESTART
+)
+
+MEMORY_BOUND = 32e6
+PROCESSOR_BOUND = 0.035
+RATE_BOUND = 8_000.0
+STORE_WRITES = 300.0
+"""Writes a second that we count on; the platform says several hundred."""
+
+STORE_READS = 2_000.0
+
+
+class Row(NamedTuple):
+    """One figure at the size to design for.
+
+    ``bound`` is None for what the users set no bound for; ``source`` names
+    the scenario of ``make bench`` that measured the slope.
+    """
+
+    role: str
+    what: str
+    value: float
+    unit: str
+    bound: float | None
+    working: str
+    source: str
+
+
+class Results:
+    """The committed figures, by scenario and name."""
+
+    def __init__(self, folder: Path) -> None:
+        self._figures_by_name = {
+            path.stem: json.loads(path.read_text())["figures"]
+            for path in folder.glob("*.json")
+        }
+
+    def figure(self, scenario: str, name: str) -> float:
+        """Return a figure.
+
+        Raises
+        ------
+        KeyError
+            If the scenario has no committed result, or not this figure.
+        """
+        return self._figures_by_name[scenario][name]
+
+
+def rows(folder: Path) -> list[Row]:
+    """Compute every row from the results in ``folder``."""
+    results = Results(folder)
+    return [*_entry(results), *_agent(results), *_relay(results), *_store(results)]
+
+
+def _entry(results: Results) -> Iterator[Row]:
+    figure = results.figure
+    service = figure("entry-memory", "bytes per service")
+    one = figure("entry-memory", "bytes per member")
+    base = figure("entry-memory", "bytes base")
+    yield Row(
+        "entry",
+        "memory of control",
+        base + SERVICES * service + ENDPOINTS * one,
+        "B",
+        MEMORY_BOUND,
+        f"{base:,.0f} + {SERVICES} x {service:.0f} + {ENDPOINTS} x {one:.0f}",
+        "entry-memory",
+    )
+    yield Row(
+        "entry",
+        "memory a flow",
+        figure("entry-memory", "bytes per open flow"),
+        "B",
+        None,
+        f"{FLOWS / ENTRIES:,.0f} open flows an entry",
+        "entry-memory",
+    )
+    tick = figure("entry-control", f"tick at {SERVICES}") * 1e-6
+    change = figure("entry-control", f"configuration at {SERVICES}") * 1e-6
+    roster = figure("entry-control", f"roster at {SERVICES}") * 1e-6
+    yield Row(
+        "entry",
+        "processor of the core",
+        TICKS * tick + (CHANGES_A_DAY * change + ROSTER_CHANGES_A_DAY * roster) / DAY,
+        "s/s",
+        PROCESSOR_BOUND,
+        f"{TICKS}/s x {tick * 1e6:.1f} µs + {CHANGES_A_DAY} a day x"
+        f" {change * 1e3:.2f} ms + {ROSTER_CHANGES_A_DAY} a day x"
+        f" {roster * 1e6:.0f} µs",
+        "entry-control",
+    )
+    packet = figure("entry-packets", "µs per packet, 300000 flows")
+    yield Row(
+        "entry",
+        "packets on one core",
+        1e6 / packet,
+        "1/s",
+        None,
+        f"1 / {packet:.1f} µs; {NEW_FLOWS / ENTRIES:.0f} new flows a second",
+        "entry-packets",
+    )
+
+
+def _agent(results: Results) -> Iterator[Row]:
+    figure = results.figure
+    base = figure("agent-memory", "bytes base")
+    one = figure("agent-memory", "bytes per peer")
+    yield Row(
+        "agent",
+        "memory of control in the core",
+        base + PEERS * one,
+        "B",
+        MEMORY_BOUND,
+        f"{base:,.0f} + {PEERS} x {one:.0f}",
+        "agent-memory",
+    )
+    for peers in (PEERS, 63):
+        yield Row(
+            "agent",
+            f"processor of control, {peers} peers",
+            figure("agent-control", f"processor at {peers} peers"),
+            "s/s",
+            PROCESSOR_BOUND,
+            "as measured",
+            "agent-control",
+        )
+        yield Row(
+            "agent",
+            f"bytes sent, {peers} peers",
+            figure("agent-control", f"sent at {peers} peers"),
+            "B/s",
+            RATE_BOUND,
+            "as measured, headers of IP and UDP included",
+            "agent-control",
+        )
+    flows = FLOWS / ENDPOINTS
+    connection = figure("agent-connections", "bytes per open connection")
+    yield Row(
+        "agent",
+        "memory of QUIC flows (data path)",
+        flows * connection,
+        "B",
+        None,
+        f"{flows:,.0f} x {connection:,.0f}",
+        "agent-connections",
+    )
+    plain = figure("agent-memory", "bytes per UDP flow")
+    yield Row(
+        "agent",
+        "memory of plain UDP flows (data path)",
+        flows * plain,
+        "B",
+        None,
+        f"{flows:,.0f} x {plain:.0f}",
+        "agent-memory",
+    )
+    new = NEW_FLOWS / ENDPOINTS
+    spent = figure("agent-connections", "processor per connection")
+    yield Row(
+        "agent",
+        "processor of new QUIC flows (data path)",
+        new * spent,
+        "s/s",
+        None,
+        f"{new:.1f}/s x {spent * 1e3:.1f} ms",
+        "agent-connections",
+    )
+
+
+def _relay(results: Results) -> Iterator[Row]:
+    return iter(())
+
+
+def _store(results: Results) -> Iterator[Row]:
+    calls = results.figure("rollout-tree", "calls a change at 30 daemons")
+    yield Row(
+        "store",
+        "calls of configuration changes",
+        CHANGES_A_DAY * calls / DAY,
+        "1/s",
+        STORE_READS,
+        f"{CHANGES_A_DAY} a day x {calls:.1f}, whatever the fleet",
+        "rollout-tree",
+    )
+    yield Row(
+        "store",
+        "roster writes, ordinary day",
+        ROSTER_CHANGES_A_DAY / DAY,
+        "1/s",
+        STORE_WRITES,
+        f"{FAILURES_A_DAY} x {WRITES_A_FAILURE} + {RESTARTS_A_DAY} x"
+        f" {WRITES_A_RESTART} a day",
+        "by counting",
+    )
+    yield Row(
+        "store",
+        "seconds to mark a data centre down",
+        min(SERVICES, ENDPOINTS / DATA_CENTRES) / STORE_WRITES,
+        "s",
+        None,
+        "one write a roster marks all of its silent members;"
+        f" {SERVICES} rosters at {STORE_WRITES:.0f}/s",
+        "by counting",
+    )
+    back = ENDPOINTS / DATA_CENTRES * 2
+    yield Row(
+        "store",
+        "seconds to announce a data centre again",
+        back / STORE_WRITES,
+        "s",
+        None,
+        f"{back:,.0f} writes at {STORE_WRITES:.0f}/s",
+        "by counting",
+    )
+    largest = results.figure("configuration-size", "largest value of the limit")
+    yield Row(
+        "store",
+        "largest value",
+        largest,
+        "of 1 MB",
+        1.0,
+        "measured at full size",
+        "configuration-size",
+    )
+
+
+def table(folder: Path) -> str:
+    """Return the rows as a Markdown table."""
+    lines = [
+        "| role | what | at the size | bound | holds | working | measured by |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    lines += [_line(row) for row in rows(folder)]
+    return "\n".join(lines)
+
+
+def _line(row: Row) -> str:
+    bound = "" if row.bound is None else _number(row.bound, row.unit)
+    holds = "" if row.bound is None else ("yes" if row.value <= row.bound else "**no**")
+    return (
+        f"| {row.role} | {row.what} | {_number(row.value, row.unit)} | {bound} |"
+        f" {holds} | {row.working} | `{row.source}` |"
+    )
+
+
+def _number(value: float, unit: str) -> str:
+    if unit == "B" and value >= 1e5:
+        return f"{value / 1e6:.1f} MB"
+    if unit == "B/s":
+        return f"{value / 1e3:.2f} KB/s"
+    if unit == "s/s":
+        return f"{value:.3%} of a core"
+    return f"{value:,.3g} {unit}"
