Count old asks, foreign copies and unseen holders for what they are

Cause: a runner's delayed ask to refuse undid its later grant; an owner took another's record of a grant to itself for a run; a declaration counted at a member whose roster did not hold the new holder yet. Change: asks older than the granted one are ignored, the owner's own denial counts, a declaration counts once its roster is there.

--- a/packages/zinniahook-core/src/zinniahook_core/arbiters.py
+++ b/packages/zinniahook-core/src/zinniahook_core/arbiters.py
@@ -92,6 +92,8 @@
             self._lookups.renumber(sender, ask)
             return None
         record = self._records.get(now, ask.key)
+        if record is not None and record.outdates(ask):
+            return None
         if self._needs_lookup(now, ask.key, record):
             return self._begin_lookup(now, sender, ask)
         missing = self._forgotten(now, ask.attempt)
@@ -183,7 +185,9 @@
         own = self._records.get(now, ask.key)
         if self._is_word(ask, own):
             told = tell(now, self._view, ask, own)
-            lookup.answers_by_name[self._view.name] = told
+        else:
+            told = ClaimAnswer(ask.number, ask.key, ClaimState.NONE, "")
+        lookup.answers_by_name[self._view.name] = told
         finding = lookup.finding()
         if finding is None:
             if own is not None and own.ran:
@@ -232,6 +236,7 @@
         make = granted if ask.intent is ClaimIntent.RUN else refused
         record = make(now, sender, ask.incarnation, ask.attempt)
         record.checked = self._view.revision
+        record.number = ask.number
         self._records.put(now, ask.key, record)
         return ClaimAnswer(ask.number, ask.key, record.state, sender)
 
--- a/packages/zinniahook-core/src/zinniahook_core/custody.py
+++ b/packages/zinniahook-core/src/zinniahook_core/custody.py
@@ -148,9 +148,11 @@
         if not self._view.valid(sender, message.incarnation):
             return
         if not message.records:
-            if not self._view.current(sender, message.incarnation):
+            current = self._view.current(sender, message.incarnation)
+            if not current or sender not in self._view.live:
                 # A new life of that name must not speak for the one whose
-                # death this agent hasn't heard of yet.
+                # death this agent hasn't heard of yet; and whoever isn't asked
+                # in lookups can't stand for what it holds.
                 return
             if message.remembers:
                 self._view.remember(sender, message.remembers)
--- a/packages/zinniahook-core/src/zinniahook_core/records.py
+++ b/packages/zinniahook-core/src/zinniahook_core/records.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from .messages import ClaimRecord, ClaimState
+from .messages import ClaimAsk, ClaimRecord, ClaimState
 
 __all__ = [
     "KEY_LIFETIME",
@@ -56,7 +56,8 @@
     ``at`` is when it was first recorded and ``until`` when it is forgotten,
     in monotonic seconds. ``other`` is a member that holds the record too,
     besides this agent and the runner. ``checked`` is the roster revision under
-    which this agent, as the owner, last made sure that it is right.
+    which this agent, as the owner, last made sure that it is right, and
+    ``number`` that of the ask that it granted then.
     """
 
     state: ClaimState
@@ -69,12 +70,24 @@
     other: str = ""
     other_incarnation: int = 0
     checked: int = 0
+    number: int = 0
 
     @property
     def ran(self) -> bool:
         """Whether the target may have seen the request."""
         return self.state is not ClaimState.REFUSED
 
+    def outdates(self, ask: ClaimAsk) -> bool:
+        """Tell whether the runner sent an ask before the one that was granted.
+
+        What goes wrong: a runner asks to refuse a request, then to run a later
+        attempt; the first ask is delayed, arrives while the request runs, and
+        passes for the runner's word that it gives the grant back.
+        """
+        if (self.runner, self.incarnation) != (ask.runner, ask.incarnation):
+            return False
+        return ask.number < self.number or ask.revision < self.checked
+
     def message(self, now: float, key: bytes) -> ClaimRecord:
         """Return the record as it is sent to a peer."""
         answer = self.answer if len(self.answer) <= SMALL_ANSWER else b""
--- a/packages/zinniahook-core/src/zinniahook_core/views.py
+++ b/packages/zinniahook-core/src/zinniahook_core/views.py
@@ -97,6 +97,8 @@
         self._note_alone(now)
         self._note_losses(now, former)
         self._note_ready(now, former)
+        for name, revision in list(self._declared_by_name.items()):
+            self.declare(name, revision)
         others = (name for name in self.members_by_name if name != self.name)
         self._seen_by_name.update(dict.fromkeys(others, now))
         self._trim(now)
@@ -195,6 +197,10 @@
         """
         known = self._declared_by_name.get(name, 0)
         self._declared_by_name[name] = max(known, revision)
+        if revision > self.revision:
+            # The copies may be at members that this agent doesn't know of
+            # yet, and so wouldn't ask. It counts once the roster is here.
+            return
         for loss in self._losses:
             if revision >= loss.revision:
                 loss.repairing.discard(name)
@@ -264,9 +270,6 @@
                 gone,
             )
             self._losses.append(loss)
-        for name, revision in self._declared_by_name.items():
-            if revision >= self.revision:
-                self.declare(name, revision)
 
     def _note_ready(self, now: float, former: dict[str, Member]) -> None:
         kept = {
