Let a cancellation of a watch through

Cause: asyncio.wait_for of Python 3.11 returns its result and drops a cancellation that comes within the same turns of the loop; a stopping daemon then cancelled its readers again and again. Change: asyncio.timeout, which awaits in the same task. The daemon cancels its tasks once.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/sources.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/sources.py
@@ -7,9 +7,6 @@
 
 __all__ = ["Source", "SourceError", "end"]
 
-CANCEL_INTERVAL = 0.1
-"""Seconds between attempts to cancel a task."""
-
 
 class SourceError(Exception):
     """A source is of no use now; the message says why."""
@@ -38,14 +35,7 @@
 
 
 async def end(tasks: set[asyncio.Task]) -> None:
-    """Cancel tasks until they have ended.
-
-    `asyncio.wait_for` of Python 3.11 drops a cancellation that comes together
-    with its result; a watch would then go on for ever, and a stopping daemon
-    with it.
-    """
-    pending = tasks
-    while pending:
-        for task in pending:
-            task.cancel()
-        _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL)
+    """Cancel tasks and wait until they have ended."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
--- a/packages/zinniahook-store/src/zinniahook_store/watches.py
+++ b/packages/zinniahook-store/src/zinniahook_store/watches.py
@@ -130,7 +130,8 @@
         while True:
             jitter = self._gateway.rng.uniform(1 - SILENCE_JITTER, 1)
             try:
-                return await asyncio.wait_for(stream.read(), wait * jitter)
+                async with asyncio.timeout(wait * jitter):
+                    return await stream.read()
             except GatewayError:
                 return None
             except TimeoutError:
--- a/packages/zinniahook-store/tests/test_watches.py
+++ b/packages/zinniahook-store/tests/test_watches.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import types
 
 import pytest
 from zinniahook_store import Store, Written
@@ -99,3 +100,33 @@
                 await asyncio.wait([following])
 
         asyncio.run(asyncio.wait_for(scenario(), BOUND))
+
+
+class TestCancellation:
+    @pytest.mark.parametrize("turns", range(4))
+    def test_comes_through_together_with_a_message(self, turns):
+        """Symptom: a daemon that was told to stop goes on watching for ever.
+
+        Sequence: a message arrives, and the reader is cancelled within the
+        next turns of the loop.
+        Cause: `asyncio.wait_for` of Python 3.11 returns the message and drops
+        the cancellation.
+        """
+
+        async def scenario():
+            store = Store(["127.0.0.1:9"])
+            watch = store.watch(PREFIX, silence=BOUND)
+            messages = asyncio.Queue()
+            stream = types.SimpleNamespace(read=messages.get)
+            reader = asyncio.ensure_future(watch._next_message(stream))
+            while not messages._getters:
+                await asyncio.sleep(0)
+            messages.put_nowait({"result": {}})
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            if reader.cancel():
+                await asyncio.wait([reader])
+                assert reader.cancelled()
+            store.close()
+
+        asyncio.run(asyncio.wait_for(scenario(), BOUND))
