Send values compressed, and manifests as changes

Cause: a change of one service cost each subscriber a chunk and the whole manifest as stored, far above what control may send at the size to design for. A manifest goes as a change against the one that the subscriber holds, by chunk number, and is rebuilt byte for byte; if the ends differ, the subscriber asks once for the whole. The pointer and the manifest go in one update of a generation only. A generation that a newer one overtook while it was sent no longer counts as sent. Tests of daemon distribution, wire and store pass.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/distribution.py
@@ -184,7 +184,9 @@
         if self.configuration is not None:
             self.learned.set()
 
-    def take_roster(self, roster: Roster, value: bytes = b"") -> None:
+    def take_roster(
+        self, roster: Roster, value: bytes = b"", packed: bytes = b""
+    ) -> None:
         """Take a roster if it is newer than the one known.
 
         Parameters
@@ -193,9 +195,11 @@
             As decoded.
         value : bytes
             As stored; empty if it isn't at hand or was deleted.
+        packed : bytes
+            The same compressed, if it came so.
         """
         service = roster.service
-        if not self.wants(service) or not self.rosters.put(roster, value):
+        if not self.wants(service) or not self.rosters.put(roster, value, packed):
             return
         self._digests_by_services.clear()
         self._node.roster_changed(roster)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/generations.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/generations.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -10,7 +9,14 @@
 from zinniahook_core.configuration import Operator
 from zinniahook_core.models import Configuration, Service
 from zinniahook_wire import documents
+from zinniahook_wire.compression import compress, decompress
 from zinniahook_wire.documents import Manifest, Pointer
+from zinniahook_wire.manifests import (
+    BaseError,
+    ManifestChange,
+    apply_change,
+    change_between,
+)
 
 __all__ = ["Generations", "StoredGeneration"]
 
@@ -74,6 +80,8 @@
         self._stored_by_generation: dict[int, StoredGeneration] = {}
         self._values_by_digest: dict[str, bytes] = {}
         self._services_by_digest: dict[str, dict[str, Service]] = {}
+        # Sixteen subscribers want the same change.
+        self._changes_by_generations: dict[tuple[int, int], ManifestChange | None] = {}
 
     @property
     def digests(self) -> list[str]:
@@ -130,6 +138,31 @@
         stored = StoredGeneration(documents.manifest_from_json(value), value)
         return self._stored_by_generation.setdefault(stored.manifest.generation, stored)
 
+    def add_change(self, change: ManifestChange) -> StoredGeneration:
+        """Hold a manifest that comes as a change against one held.
+
+        Raises
+        ------
+        BaseError
+            If that one isn't held, or is another.
+        DocumentError
+            If it isn't a change.
+        """
+        base = self._stored_by_generation.get(change.base)
+        if base is None:
+            raise BaseError(f"manifest of generation {change.base} is not held")
+        return self.add_manifest(apply_change(base.manifest, change))
+
+    def change(
+        self, base: StoredGeneration, stored: StoredGeneration
+    ) -> ManifestChange | None:
+        """Return a manifest as a change; None if only the whole will do."""
+        key = (base.manifest.generation, stored.manifest.generation)
+        if key not in self._changes_by_generations:
+            change = change_between(base.manifest, stored.value)
+            self._changes_by_generations[key] = change
+        return self._changes_by_generations[key]
+
     def add_values(self, values_by_digest: Mapping[str, bytes]) -> None:
         """Hold values, but those whose content has another digest.
 
@@ -139,10 +172,21 @@
             If one has another digest.
         """
         for digest, value in values_by_digest.items():
-            if documents.digest_of(value) != digest:
-                raise documents.DocumentError(f"value {digest}: has another digest")
+            _check(digest, value)
             # Kept for daemons that subscribe here; JSON shrinks to a sixth.
-            self._values_by_digest[digest] = zlib.compress(value)
+            self._values_by_digest[digest] = compress(value)
+
+    def add_compressed(self, values_by_digest: Mapping[str, bytes]) -> None:
+        """Hold values that come compressed, as `add_values`.
+
+        Raises
+        ------
+        DocumentError
+            If one is too large, or has another digest.
+        """
+        for digest, packed in values_by_digest.items():
+            _check(digest, decompress(packed, f"value {digest}"))
+            self._values_by_digest[digest] = packed
 
     def value(self, digest: str) -> bytes:
         """Return a value that is held.
@@ -152,7 +196,17 @@
         KeyError
             If it isn't.
         """
-        return zlib.decompress(self._values_by_digest[digest])
+        return decompress(self._values_by_digest[digest], f"value {digest}")
+
+    def compressed(self, digest: str) -> bytes:
+        """Return a value that is held, compressed.
+
+        Raises
+        ------
+        KeyError
+            If it isn't.
+        """
+        return self._values_by_digest[digest]
 
     def missing(self, generation: int) -> list[str] | None:
         """Return the digests still missing, or None without the manifest."""
@@ -215,6 +269,7 @@
         kept = {*self.named(), current.manifest.generation}
         for generation in set(self._stored_by_generation) - kept:
             del self._stored_by_generation[generation]
+        self._changes_by_generations.clear()
         named = {
             digest
             for stored in self._stored_by_generation.values()
@@ -226,6 +281,11 @@
             del self._services_by_digest[digest]
 
 
+def _check(digest: str, value: bytes) -> None:
+    if documents.digest_of(value) != digest:
+        raise documents.DocumentError(f"value {digest}: has another digest")
+
+
 def _widens(old: Pointer, new: Pointer) -> bool:
     """Whether a pointer to the same generation is a later stage."""
     if not new.previous:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/parents.py
@@ -11,6 +11,7 @@
 from zinniahook_core.codes import ZinniahookError
 from zinniahook_core.models import Address, Roster
 from zinniahook_wire import documents
+from zinniahook_wire.compression import decompress
 from zinniahook_wire.control_grpc import ControlStub
 from zinniahook_wire.control_pb2 import (
     ConfigurationUpdate,
@@ -18,6 +19,7 @@
     RosterUpdate,
     SubscribeRequest,
 )
+from zinniahook_wire.manifests import BaseError, ManifestChange
 
 from .sources import Source, SourceError
 from .subscriptions import DIGEST_INTERVAL
@@ -82,17 +84,34 @@
         host, port = self._address
         channel = Channel(host, port, ssl=self._distribution.client_context)
         try:
-            await self._subscribe(channel)
+            await self._subscribe_again(channel)
         except FAILURES as error:
             raise SourceError(f"{type(error).__name__}: {error}") from None
         finally:
             channel.close()
 
-    async def _subscribe(self, channel: Channel) -> None:
+    async def _subscribe_again(self, channel: Channel) -> None:
+        """Subscribe, and once more if a change came against another manifest.
+
+        The two ends may differ about what this one holds, as after the store
+        was emptied and numbers were given anew. Every change would then end
+        the subscription, seen as a daemon that goes from parent to parent and
+        lags behind; asked for the whole, the parent sends what always fits.
+        """
+        generations = self._distribution.generations
+        generation = generations.pointer.generation
+        held = generation if generations.stored(generation) else 0
+        try:
+            await self._subscribe(channel, held)
+        except BaseError as error:
+            self._distribution.unusable(self.name, error)
+            await self._subscribe(channel, 0)
+
+    async def _subscribe(self, channel: Channel, manifest: int) -> None:
         method = ControlStub(channel).Subscribe
         async with method.open() as stream:
             async with asyncio.timeout(SILENCE):
-                await stream.send_message(self._request(), end=True)
+                await stream.send_message(self._request(manifest), end=True)
             while True:
                 update = await self._receive(stream)
                 if update is None:
@@ -127,7 +146,7 @@
             receive.cancel()
             suspect.cancel()
 
-    def _request(self) -> SubscribeRequest:
+    def _request(self, manifest: int) -> SubscribeRequest:
         distribution = self._distribution
         services = distribution.generations.services
         revisions_by_service = dict.fromkeys(services or (), 0)
@@ -138,25 +157,29 @@
             digests=distribution.generations.digests,
             revisions_by_service=revisions_by_service,
             all_services=services is None,
+            manifest=manifest,
         )
 
     def _take_configuration(self, update: ConfigurationUpdate) -> None:
         distribution = self._distribution
         generations = distribution.generations
-        generations.add_manifest(update.manifest)
-        generations.add_values(update.values_by_digest)
+        if update.manifest:
+            generations.add_manifest(decompress(update.manifest, "manifest"))
+        if update.HasField("change"):
+            generations.add_change(_change(update))
+        generations.add_compressed(update.values_by_digest)
         if update.last:
             generations.point(update.pointer)
             distribution.apply()
 
     def _take_roster(self, update: RosterUpdate) -> None:
+        service, revision = update.service, update.revision
         if update.value:
-            roster = documents.roster_from_json(
-                update.service, update.revision, update.value
-            )
+            value = decompress(update.value, f"roster of {service}")
+            roster = documents.roster_from_json(service, revision, value)
         else:
-            roster = Roster(update.service, update.revision, {})
-        self._distribution.take_roster(roster, update.value)
+            roster = Roster(service, revision, {})
+        self._distribution.take_roster(roster, packed=update.value)
 
     def _check(self, digest: Digest) -> None:
         """Compare what the parent has with what came from it.
@@ -187,3 +210,9 @@
         self._differences += 1
         if self._differences >= DIFFERENCES:
             raise SourceError("lags, or an update was lost")
+
+
+def _change(update: ConfigurationUpdate) -> ManifestChange:
+    change = update.change
+    chunks_by_number = dict(change.chunks_by_number)
+    return ManifestChange(change.base, change.digest, change.fields, chunks_by_number)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/subscriptions.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/subscriptions.py
@@ -9,9 +9,11 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
+from zinniahook_wire.compression import compress
 from zinniahook_wire.control_pb2 import (
     ConfigurationUpdate,
     Digest,
+    ManifestChange,
     RosterUpdate,
     SubscribeRequest,
     Update,
@@ -19,6 +21,7 @@
 
 if TYPE_CHECKING:
     from .distribution import Distribution
+    from .generations import StoredGeneration
 
 __all__ = ["DIGEST_INTERVAL", "Subscription"]
 
@@ -66,6 +69,8 @@
         )
         self._revisions_by_service = dict(request.revisions_by_service)
         self._digests = set(request.digests)
+        # The manifest that the subscriber holds; the next is told as a change.
+        self._base = distribution.generations.stored(request.manifest)
         self._pointer = b""
         self._closing = False
         self._changed = asyncio.Event()
@@ -127,47 +132,55 @@
                 raise GRPCError(
                     Status.FAILED_PRECONDITION, "holds fewer services than wanted"
                 )
-            await self._send_generation(pointer, stored)
+            if not await self._send_generation(pointer, stored):
+                return
         self._digests = {
             digest for stored in held for digest in stored.digests(self._services)
         }
         self._pointer = pointer
 
-    async def _send_generation(self, pointer: bytes, stored) -> None:
-        """Send one generation in updates of a bounded size."""
+    async def _send_generation(self, pointer: bytes, stored: StoredGeneration) -> bool:
+        """Send one generation in updates of a bounded size.
+
+        Returns
+        -------
+        bool
+            False if a newer one came meanwhile and this one is not whole now.
+        """
         generations = self._distribution.generations
         wanted = stored.digests(self._services)
-        lacking = [digest for digest in wanted if digest not in self._digests]
-        values_by_digest: dict[str, bytes] = {}
+        update = self._first_update(stored)
+        self._base = stored
         size = 0
-        for digest in lacking:
+        for digest in wanted:
+            if digest in self._digests:
+                continue
             try:
-                value = generations.value(digest)
+                value = generations.compressed(digest)
             except KeyError:
-                # A newer generation came while this one was being sent.
-                return
-            values_by_digest[digest] = value
+                return False
+            update.values_by_digest[digest] = value
             size += len(value)
             if size >= UPDATE_SIZE:
-                await self._send_values(pointer, stored.value, values_by_digest)
-                values_by_digest, size = {}, 0
-        await self._send_values(pointer, stored.value, values_by_digest, last=True)
-        self._digests.update(wanted)
-
-    async def _send_values(
-        self,
-        pointer: bytes,
-        manifest: bytes,
-        values_by_digest: dict[str, bytes],
-        last: bool = False,
-    ) -> None:
-        update = ConfigurationUpdate(
-            pointer=pointer,
-            manifest=manifest,
-            values_by_digest=values_by_digest,
-            last=last,
-        )
+                await self._send_values(update)
+                update, size = ConfigurationUpdate(), 0
+        update.pointer = pointer
+        update.last = True
+        await self._send_values(update)
+        return True
+
+    def _first_update(self, stored: StoredGeneration) -> ConfigurationUpdate:
+        """Return an update with the manifest, as a change if that will do."""
+        change = None
+        if self._base is not None:
+            change = self._distribution.generations.change(self._base, stored)
+        if change is None:
+            return ConfigurationUpdate(manifest=compress(stored.value))
+        return ConfigurationUpdate(change=ManifestChange(**change._asdict()))
+
+    async def _send_values(self, update: ConfigurationUpdate) -> None:
         await self._send(Update(configuration=update))
+        self._digests.update(update.values_by_digest)
 
     async def _send_rosters(self) -> None:
         while self._changed_services:
@@ -177,7 +190,7 @@
             if revision <= self._revisions_by_service.get(service, 0):
                 continue
             update = RosterUpdate(
-                service=service, revision=revision, value=rosters.value(service)
+                service=service, revision=revision, value=rosters.packed(service)
             )
             await self._send(Update(roster=update))
             self._revisions_by_service[service] = revision
--- a/packages/zinniahook-daemon/tests/test_distribution.py
+++ b/packages/zinniahook-daemon/tests/test_distribution.py
@@ -14,12 +14,14 @@
 from zinniahook_daemon.certificates import Certificates
 from zinniahook_daemon.generations import Generations
 from zinniahook_wire import documents
+from zinniahook_wire.compression import compress
 from zinniahook_wire.control_grpc import ControlStub
 from zinniahook_wire.control_pb2 import DrainRequest, StatusRequest
 from zinniahook_wire.documents import Pointer
 
 TALLY = Service("tally", 1, Address("127.0.0.1", 7001))
 LEDGER = Service("ledger", 2, Address("127.0.0.1", 7002))
+UNUSABLE = "distribution.unusable.CONFIGURATION_INVALID"
 
 
 def roster(service: str, revision: int, *names: str) -> Roster:
@@ -79,6 +81,55 @@
 
         asyncio.run(run())
 
+    def test_a_manifest_is_passed_on_as_stored(self, nodes, eventually):
+        async def run():
+            async with (
+                nodes.start("parent") as parent,
+                nodes.start("child", parent.control_address) as child,
+                nodes.start("grandchild", child.control_address) as grandchild,
+            ):
+                nodes.commit(parent, 1, TALLY)
+                await eventually(lambda: grandchild.generation == 1)
+                nodes.commit(parent, 2, TALLY, LEDGER)
+                await eventually(lambda: grandchild.generation == 2)
+                values = {
+                    node.distribution.generations.stored(2).value
+                    for node in (parent, child, grandchild)
+                }
+                assert len(values) == 1
+                for node in (child, grandchild):
+                    counters = node.metrics.counters_by_name
+                    assert UNUSABLE not in counters
+
+        asyncio.run(run())
+
+    def test_a_manifest_of_another_content_is_asked_for_whole(self, nodes, eventually):
+        """Symptom: a daemon goes from parent to parent at each change.
+
+        Sequence: the child holds another manifest of the same number than
+        its parent, as after the store was emptied; the parent gets a change.
+        Cause: a change against one doesn't fit the other.
+        """
+
+        async def run():
+            async with (
+                nodes.start("parent") as parent,
+                nodes.start("child", parent.control_address) as child,
+            ):
+                nodes.commit(child, 1, LEDGER)
+                nodes.commit(parent, 1, TALLY)
+                await asyncio.wait_for(child.distribution.learned.wait(), 20)
+                nodes.commit(parent, 2, TALLY, LEDGER)
+                await eventually(lambda: child.generation == 2)
+                assert (
+                    child.distribution.generations.stored(2).value
+                    == parent.distribution.generations.stored(2).value
+                )
+                counters = child.metrics.counters_by_name
+                assert counters[UNUSABLE] >= 1
+
+        asyncio.run(run())
+
     def test_an_agent_learns_its_own_service_only(self, nodes, eventually):
         async def run():
             async with nodes.start("parent") as parent:
@@ -203,6 +254,14 @@
         with pytest.raises(documents.DocumentError):
             generations.add_values({documents.digest_of(b"one"): b"other"})
 
+    def test_a_compressed_value_with_another_digest_is_refused(self):
+        generations = Generations("a", "thies-1", None)
+        digest = documents.digest_of(b"one")
+        with pytest.raises(documents.DocumentError):
+            generations.add_compressed({digest: compress(b"other")})
+        generations.add_compressed({digest: compress(b"one")})
+        assert generations.value(digest) == b"one"
+
     def test_stages_only_widen(self):
         generations = Generations("entry-2", "thies-1", None)
         stages = [
--- a/packages/zinniahook-wire/src/zinniahook_wire/rosters.py
+++ b/packages/zinniahook-wire/src/zinniahook_wire/rosters.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import hashlib
-import zlib
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple, TypedDict
 
 from zinniahook_core.codes import Code
 from zinniahook_core.models import Address, AgentState, Member, Roster
 
+from .compression import compress, decompress
 from .values import DIGEST_SIZE, OPERATIONS_KEPT, WRONG_VALUE, dump, invalid, load
 
 __all__ = [
@@ -103,7 +103,7 @@
 
 
 class Packed(NamedTuple):
-    """A roster as stored, compressed."""
+    """A roster as stored, compressed; empty if it was deleted."""
 
     revision: int
     value: bytes
@@ -127,7 +127,7 @@
             for service, packed in self._packed_by_service.items()
         }
 
-    def put(self, roster: Roster, value: bytes = b"") -> bool:
+    def put(self, roster: Roster, value: bytes = b"", packed: bytes = b"") -> bool:
         """Keep a roster if it is newer than the one known.
 
         Parameters
@@ -136,14 +136,17 @@
             As decoded.
         value : bytes
             As stored; empty if it isn't at hand or was deleted.
+        packed : bytes
+            The same compressed, if it came so.
         """
         known = self._packed_by_service.get(roster.service)
         if known is not None and known.revision >= roster.revision:
             return False
-        if not value and roster.by_name:
+        if not packed and not value and roster.by_name:
             value = roster_to_json(roster)
-        packed = Packed(roster.revision, zlib.compress(value))
-        self._packed_by_service[roster.service] = packed
+        if value and not packed:
+            packed = compress(value)
+        self._packed_by_service[roster.service] = Packed(roster.revision, packed)
         return True
 
     def revision(self, service: str) -> int:
@@ -159,14 +162,25 @@
         KeyError
             If none is known.
         """
-        return zlib.decompress(self._packed_by_service[service].value)
+        packed = self.packed(service)
+        return decompress(packed, f"roster of {service}") if packed else b""
+
+    def packed(self, service: str) -> bytes:
+        """Return a roster as stored, compressed; empty if it was deleted.
+
+        Raises
+        ------
+        KeyError
+            If none is known.
+        """
+        return self._packed_by_service[service].value
 
     def get(self, service: str) -> Roster | None:
         """Return a roster; None if none is known."""
         packed = self._packed_by_service.get(service)
         if packed is None:
             return None
-        value = zlib.decompress(packed.value)
+        value = self.value(service)
         if not value:
             return Roster(service, packed.revision, {})
         return roster_from_json(service, packed.revision, value)
