Let a copy leave the very request that it follows

Cause: a copy that had followed a former leader of its key was not taken from it when its caller went, and the agent's decision on the leader's cancellation failed. Change: a copy remembers whom it follows; the measurement under faults cancels as the daemon does.

--- a/packages/zinniahook-core/src/zinniahook_core/opens.py
+++ b/packages/zinniahook-core/src/zinniahook_core/opens.py
@@ -40,6 +40,7 @@
     relays: int = 0
     retries: int = 0
     cancelled_at: float | None = None
+    leader: int = -1
     followers: list[int] = field(default_factory=list)
 
     @property
@@ -92,12 +93,14 @@
     def follow(self, item: Open, leader: Open) -> None:
         """Let a copy wait for what its leader gets."""
         leader.followers.append(item.number)
+        item.leader = leader.number
         item.stage = Stage.JOINED
 
     def detach(self, item: Open) -> None:
         """Close a copy without its leader."""
         self.close(item)
-        leader = self.leader(item.event.key)
+        # Not the leader of its key: another copy may lead by now.
+        leader = self._by_number.get(item.leader)
         if leader is not None and item.number in leader.followers:
             leader.followers.remove(item.number)
 
--- a/packages/zinniahook-core/tests/test_requests.py
+++ b/packages/zinniahook-core/tests/test_requests.py
@@ -148,6 +148,23 @@
         group.request("a", 4, attempt=2, relayed_by="b")
         assert len(group.ran("a") + group.ran("b")) == 1
 
+    def test_copy_of_a_former_leader_can_leave(self):
+        """
+        Symptom: an agent stops deciding on a request.
+        Sequence: a copy follows one that was relayed; a relayed copy leads the
+        key from then on; the follower leaves, and so does its leader.
+        Cause: the follower was looked for at the new leader.
+        """
+        group = Group("ab")
+        placed(group, "a", peer="b", always=True)
+        group.request("a", 1)
+        group.request("a", 2, attempt=2)
+        group.request("a", 3, relayed_by="b")
+        group.feed("a", RequestCancelled(2))
+        group.feed("a", RequestCancelled(1))
+        assert group.of("a", CancelRequest) == [CancelRequest(1)]
+        assert group.relayed("a", 2) == []
+
 
 class TestWaiting:
     def test_dead_owner_does_not_hold_the_slots(self):
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/atmostonce.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/atmostonce.py
@@ -18,6 +18,7 @@
 
 from zinniahook_core.codes import Code, Outcome, OutcomeKind
 from zinniahook_core.effects import (
+    CancelRequest,
     Count,
     FinishRequest,
     JoinRequest,
@@ -480,6 +481,23 @@
         if not self._held_back(agent, lambda: self._cancel(agent, request)):
             self.handle(agent, RequestCancelled(request))
 
+    def _cancel_request(self, agent: Agent, effect: CancelRequest) -> None:
+        copy = agent.copies_by_request.get(effect.request)
+        if copy is None:
+            return
+        # What is cancelled answers nobody, not even the copies that joined it.
+        copy.joined.clear()
+        if copy.relayed_to is not None:
+            peer, number = copy.relayed_to
+            self.after(0.002, lambda: self._cancel(peer, number))
+        self.after(0.002, lambda: self._cancelled(agent, effect.request))
+
+    def _cancelled(self, agent: Agent, request: int) -> None:
+        if self._held_back(agent, lambda: self._cancelled(agent, request)):
+            return
+        cancelled = Outcome(OutcomeKind.CANCELLED_AFTER, Code.CANCELLED_AFTER)
+        self.handle(agent, RequestFinished(request, cancelled, True))
+
     def _count(self, agent: Agent, effect: Count) -> None:
         self.counts[effect.name] += effect.amount
 
@@ -575,6 +593,7 @@
     Replay: World._replay,
     JoinRequest: World._join,
     Relay: World._relay,
+    CancelRequest: World._cancel_request,
     Count: World._count,
 }
 
