Remember refused attempts beside a later grant

Cause: a grant that was never used, kept by a third member, was adopted again by an owner whose runner was silent, in place of the refusal that came after it; the runner then ran a refused attempt. Change: a record keeps the highest refused attempt, and its runner is refused up to it.

--- a/packages/zinniahook-core/src/zinniahook_core/arbiters.py
+++ b/packages/zinniahook-core/src/zinniahook_core/arbiters.py
@@ -213,6 +213,10 @@
         self, now: float, sender: str, ask: ClaimAsk, record: Record
     ) -> ClaimAnswer:
         own = (record.runner, record.incarnation) == (sender, ask.incarnation)
+        if own and 0 < ask.attempt <= record.refused:
+            # A grant that was never used must not outlive a refusal of the
+            # same attempt, which came after it.
+            return ClaimAnswer(ask.number, ask.key, ClaimState.REFUSED, sender)
         if own and record.state in (ClaimState.GRANTED, ClaimState.RUNNING):
             # The runner knows best whether it ran: it asks only if it didn't.
             return self._grant(now, sender, ask)
--- a/packages/zinniahook-core/src/zinniahook_core/records.py
+++ b/packages/zinniahook-core/src/zinniahook_core/records.py
@@ -57,7 +57,8 @@
     in monotonic seconds. ``other`` is a member that holds the record too,
     besides this agent and the runner. ``checked`` is the roster revision under
     which this agent, as the owner, last made sure that it is right, and
-    ``number`` that of the ask that it granted then.
+    ``number`` that of the ask that it granted then. ``refused`` is the highest
+    attempt that was refused before.
     """
 
     state: ClaimState
@@ -71,6 +72,7 @@
     other_incarnation: int = 0
     checked: int = 0
     number: int = 0
+    refused: int = 0
 
     @property
     def ran(self) -> bool:
@@ -155,6 +157,9 @@
     def put(self, now: float, key: bytes, record: Record) -> None:
         """Keep a record in place of any other of its key."""
         known = self._by_key.get(key)
+        if known is not None:
+            told = 0 if known.ran else known.attempt
+            record.refused = max(record.refused, known.refused, told)
         if known is not None and not (known.ran or record.ran):
             record.attempt = max(record.attempt, known.attempt)
             record.until = max(record.until, known.until)
