Test the record of a feed, and a feed over a killed agent

Cause: what the load counts as a broken feed had no test of its own; a crash under a feed that is resumed had none either. Change: tests for missing, doubled, reordered, foreign and absent events, and for a feed whose agent is killed.

--- a/packages/zinniahook-testkit/src/zinniahook_testkit/callers.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/callers.py
@@ -12,7 +12,7 @@
 
 from .loads import LONGEST, MICROSECONDS, Load, Record, load_kind
 
-__all__ = ["ExportLoad", "FeedLoad", "FlowLoad", "TicketLoad"]
+__all__ = ["ExportLoad", "FeedLoad", "FeedRecord", "FlowLoad", "TicketLoad"]
 
 OPENING_SPREAD = 1.0
 """Seconds over which the feeds and flows of a load are opened."""
@@ -131,7 +131,7 @@
     async def _hold(self, number: int) -> None:
         if await self.stopped_within(self._rng.random() * OPENING_SPREAD):
             return
-        feed = _Feed(f"feed-{number}")
+        feed = FeedRecord(f"feed-{number}")
         loop = asyncio.get_running_loop()
         began = loop.time()
         reading = loop.create_task(self._read(feed))
@@ -165,7 +165,7 @@
         )
         self.counts[outcome] += 1
 
-    async def _read(self, feed: _Feed) -> None:
+    async def _read(self, feed: FeedRecord) -> None:
         every = self.plan["every"]
         try:
             async with self.session().events(
@@ -182,7 +182,7 @@
             feed.fault = feed.fault or f"{type(error).__name__}: {error}"
 
 
-class _Feed:
+class FeedRecord:
     """What a caller knows of its feed."""
 
     def __init__(self, name: str) -> None:
--- a/packages/zinniahook-testkit/tests/test_loads.py
+++ b/packages/zinniahook-testkit/tests/test_loads.py
@@ -1,6 +1,11 @@
 import asyncio
+import json
 import random
+import time
 
+import pytest
+from zinniahook_caller import Event
+from zinniahook_testkit.callers import LATEST, FeedRecord
 from zinniahook_testkit.loads import Load, Record
 
 
@@ -44,3 +49,40 @@
             assert load.result()["quantiles"]["p100"] >= 0.45
 
         asyncio.run(check())
+
+
+def event(number, service="tally", target="tally-1"):
+    message = {"service": service, "target": target, "n": number}
+    return Event(str(number), "message", json.dumps(message))
+
+
+class TestFeedRecord:
+    @pytest.mark.parametrize(
+        "second",
+        [event(9), event(7), event(6), event(8, service="ledger")],
+        ids=["missing", "doubled", "out of order", "of another service"],
+    )
+    def test_a_fault_stays_on_record(self, second):
+        record = FeedRecord("feed-1")
+        record.take(event(7))
+        assert not record.fault
+        record.take(second)
+        fault = record.fault
+        record.take(event(int(second.id) + 1))
+        assert fault and record.fault == fault
+
+    def test_any_target_may_go_on(self):
+        record = FeedRecord("feed-1")
+        for number in range(5):
+            record.take(event(number, target=f"tally-{number}"))
+        assert (record.fault, record.lines) == ("", 5)
+
+    def test_one_that_stands_still_is_noticed(self):
+        record = FeedRecord("feed-1")
+        every = 0.5
+        now = int(time.time() / every)
+        record.take(event(now - int(2 * LATEST / every)))
+        assert record.stands_still(every)
+        record = FeedRecord("feed-1")
+        record.take(event(now))
+        assert not record.stands_still(every)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -9,7 +9,13 @@
 from aioquic.h3.connection import H3_ALPN, H3Connection
 from aioquic.h3.events import DataReceived, HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
-from zinniahook_caller import Backoff, NotRunError, Session, UnknownOutcomeError
+from zinniahook_caller import (
+    Backoff,
+    NotRunError,
+    Session,
+    Silence,
+    UnknownOutcomeError,
+)
 from zinniahook_core.codes import Code
 from zinniahook_testkit.target import export_digest
 
@@ -317,6 +323,34 @@
 
 
 class TestCrashes:
+    def test_a_feed_goes_on_after_its_agent_was_killed(self, fresh):
+        """A feed has a gap, or shows a request twice, after a crash.
+
+        Symptom: a librarian misses requests, or files one a second time.
+        Sequence: the agent of an open feed is killed; its connection falls
+        silent; the feed is opened anew at another target.
+        Cause: the new answer began with what was due then.
+        """
+
+        async def check(cluster):
+            quick = Silence(probe=0.25, move=0.5, give_up=1.0)
+            async with (
+                session(cluster, "tally", silence=quick) as caller,
+                caller.events("/tally/feed?every=0.05") as feed,
+            ):
+                events = aiter(feed)
+                seen = [await anext(events) for _ in range(3)]
+                former = json.loads(seen[0].data)["target"]
+                await asyncio.to_thread(cluster.agents_by_name.pop(former).kill)
+                while json.loads(seen[-1].data)["target"] == former:
+                    seen.append(await anext(events))
+                seen += [await anext(events) for _ in range(20)]
+                numbers = [int(event.id) for event in seen]
+                assert numbers == list(range(numbers[0], numbers[0] + len(seen)))
+                assert feed.cuts >= 1
+
+        fresh.run(check(fresh.cluster))
+
     def test_killed_agent_never_doubles_a_ticket(self, fresh):
         """A crash between start and answer doubles or loses a ticket.
 
