Split the long test files along their subjects

The fakes move to modules beside the tests (flow_networks, quic_links, http3_benches, agent_deployments); flows across changes, the transport and the failures of agents become files of their own. No test is changed.

--- /dev/null
+++ b/packages/zinniahook-core/tests/test_flow_changes.py
@@ -0,0 +1,220 @@
+"""Flows across planned and unplanned changes of the agents of a service."""
+
+import pytest
+from flow_networks import Network, caller, member
+from zinniahook_core.models import AgentState
+from zinniahook_core.routing import flow_key
+
+COUNT = 300
+
+
+class TestPlannedChanges:
+    @pytest.mark.parametrize("seed", range(3))
+    def test_join_under_traffic(self, seed):
+        """A tally stream moved to another target when an agent joined.
+
+        Symptom: the target gets the middle of a stream it never saw begin.
+        Sequence: a new agent becomes the home of established flows; entries
+        and agents learn the roster up to two seconds apart; packets arrive.
+        Cause: the new home opens what it doesn't know.
+        """
+        network = Network(seed, 5, loss=0.1, doubled=0.1)
+        owners = network.open(COUNT)
+        network.join("a-5")
+        sent = network.talk(COUNT)
+        assert network.moved(owners) == []
+        assert all(len(network.delivered[number]) == sent + 1 for number in owners)
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_two_joins_at_once_and_every_entry_replaced(self, seed):
+        """As above, twice at the same moment and without owners' hints.
+
+        Sequence: two agents join; the entries that know the owners die.
+        Cause: the former home is only the third in rank.
+        """
+        network = Network(seed, 4, loss=0.1, doubled=0.1)
+        owners = network.open(COUNT)
+        network.join("a-4", "a-5")
+        network.entries = [network.new_entry() for _ in range(2)]
+        network.talk(COUNT)
+        assert network.moved(owners) == []
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_leave_and_join_in_turn(self, seed):
+        """A rolling replacement cut streams of an agent that was draining.
+
+        Symptom: streams restart during a planned roll.
+        Sequence: each agent leaves while a new one joins, its flows go on
+        until it is done; new flows open meanwhile.
+        Cause: routing known flows by who may take new ones.
+        """
+        network = Network(seed, 4, loss=0.05, doubled=0.05)
+        owners = network.open(COUNT)
+        for number in range(4):
+            network.leave(f"a-{number}")
+            network.join(f"a-{number + 4}")
+            network.talk(COUNT, seconds=2.0)
+        network.entries = [network.new_entry() for _ in range(2)]
+        network.talk(COUNT, seconds=1.0)
+        assert network.moved(owners) == []
+
+    def test_handed_flows_stay_when_their_home_and_their_owner_s_peers_change(self):
+        """A flow that had been handed over moved at the next change.
+
+        Symptom: streams restart, but only those that live away from home.
+        Sequence: a home hands openings to less loaded peers; it leaves and
+        another agent joins in the same moment; entries are replaced.
+        Cause: the new home asks the former one, which is gone.
+        """
+        network = Network(8, 4, loss=0.1)
+        network.run(1.0)
+        home = network.flows_by_name["a-0"].homes.home
+        owners = network.open(COUNT)
+        handed = [n for n in owners if home(flow_key(caller(n))).name != owners[n]]
+        assert len(handed) > COUNT // 20
+        network.leave("a-1")
+        network.join("a-4")
+        network.entries = [network.new_entry() for _ in range(2)]
+        network.talk(COUNT)
+        assert network.moved(owners) == []
+
+    def test_without_overlap_windows_the_check_fails(self, monkeypatch):
+        """The check above can fail: here a new home never asks."""
+        monkeypatch.setattr(
+            "zinniahook_core.homes.Homes.was_elsewhere", lambda *arguments: False
+        )
+        network = Network(1, 4)
+        owners = network.open(COUNT)
+        network.join("a-4", delay=0.0)
+        network.entries = [network.new_entry() for _ in range(2)]
+        network.talk(COUNT, seconds=1.0, pause=0.05)
+        assert network.moved(owners) != []
+
+    def test_a_leaving_agent_gets_no_new_flows(self):
+        network = Network(1, 4)
+        network.open(50)
+        network.leave("a-0")
+        network.run(3.0)
+        for number in range(1000, 1200):
+            network.send(number)
+        network.run(2.0)
+        opened = [network.delivered[number] for number in range(1000, 1200)]
+        assert all(len(names) == 1 for names in opened)
+        assert ["a-0"] not in opened
+
+    def test_a_quiet_flow_keeps_its_owner_while_its_home_changes_twice(self):
+        """A stream that was silent during two changes was opened anew.
+
+        Symptom: the first packet after a quiet time reaches a new target.
+        Sequence: the home of a handed flow is replaced, and replaced again,
+        with no packet in between; then new entries route by rank.
+        Cause: pointers made only when packets pass.
+        """
+        network = Network(2, 4, loss=0.1)
+        owners = network.open(COUNT)
+        network.join("a-4")
+        network.run(8.0)
+        network.leave("a-4")
+        network.join("a-5")
+        network.run(8.0)
+        network.entries = [network.new_entry()]
+        network.talk(COUNT, seconds=1.0)
+        assert network.moved(owners) == []
+
+    def test_pointers_outlive_hours_of_direct_routing(self):
+        """A feed broke when the entry that remembered its owner died.
+
+        Symptom: a flow moves long after the last change.
+        Sequence: the entry sends straight to the owner, so the home sees no
+        packet for longer than the idle time; then the entry is replaced.
+        Cause: a pointer that is renewed by packets only.
+        """
+        network = Network(3, 4)
+        owners = network.open(60)
+        network.join("a-4")
+        for _ in range(8):
+            network.talk(60, seconds=1.0, pause=1.0)
+            network.run(10.0)
+        network.entries = [network.new_entry()]
+        network.talk(60, seconds=1.0)
+        assert network.moved(owners) == []
+
+
+class TestUnplanned:
+    def test_a_dead_home_keeps_no_new_flow_waiting(self):
+        """New flows of a dead home went nowhere until it was marked down.
+
+        Sequence: the home dies; an entry that has suspended it sends the
+        opening to the next in rank, which asks the home in vain.
+        """
+        network = Network(4, 4)
+        home = network.flows_by_name["a-0"].homes
+        numbers = [
+            n for n in range(400) if home.home(flow_key(caller(n))).name == "a-1"
+        ]
+        network.dead.add("a-1")
+        for number in numbers:
+            network.post(
+                0.0, ("datagram", "a-2", network.entries[0], number, b"x", 0, "")
+            )
+        network.run(2.0)
+        assert all(len(network.delivered[number]) == 1 for number in numbers)
+        assert len(numbers) > 50
+
+    def test_flows_of_others_survive_a_dead_home(self):
+        """Handed flows were lost along with the agent that handed them.
+
+        Sequence: the home hands flows to peers and dies; it is marked down;
+        the next home is asked for them by new entries.
+        Cause: the pointer was kept at the home only.
+        """
+        network = Network(5, 5, loss=0.05)
+        owners = network.open(COUNT)
+        network.dead.add("a-0")
+        network.members["a-0"] = network.members["a-0"]._replace(state=AgentState.DOWN)
+        network.publish()
+        network.run(6.0)
+        network.entries = [network.new_entry()]
+        network.talk(COUNT, seconds=1.0)
+        kept = {number: name for number, name in owners.items() if name != "a-0"}
+        assert network.moved(kept) == []
+        assert all(len(network.delivered[n]) > 1 for n in owners)
+
+    def test_a_restarted_home_learns_its_flows_again(self):
+        """A home that came back with a new incarnation opened flows twice.
+
+        Sequence: an agent restarts at once under its name; the owners of
+        its flows still believe that it knows them.
+        """
+        network = Network(6, 4, loss=0.05)
+        owners = network.open(COUNT)
+        network.start("a-0")
+        network.members["a-0"] = member("a-0", incarnation=2)
+        network.publish()
+        network.run(6.0)
+        network.entries = [network.new_entry()]
+        network.talk(COUNT, seconds=1.0)
+        kept = {number: name for number, name in owners.items() if name != "a-0"}
+        assert network.moved(kept) == []
+
+    @pytest.mark.parametrize("age", [3.0, 20.0])
+    def test_two_owners_become_one(self, age):
+        """One caller's packets were spread over two targets for good.
+
+        Sequence: the home is paused when a peer asks it, so the peer opens
+        the flow that the home owns already; the home wakes up.
+        Cause: the peer claimed the flow, and a home whose own was young gave
+        way, although the other was younger still.
+        """
+        network = Network(7, 3)
+        owners = network.open(40)
+        network.run(age)
+        number = next(n for n, name in owners.items() if name == "a-0")
+        network.dead.add("a-0")
+        network.post(0.0, ("datagram", "a-1", network.entries[0], number, b"x", 0, ""))
+        network.run(1.0)
+        network.dead.discard("a-0")
+        network.run(3.0)
+        flow = flow_key(caller(number))
+        owning = [n for n, f in network.flows_by_name.items() if f.owns(flow)]
+        assert owning == ["a-0"]
--- a/packages/zinniahook-daemon/tests/conftest.py
+++ b/packages/zinniahook-daemon/tests/conftest.py
@@ -5,13 +5,16 @@
 import asyncio
 import contextlib
 import socket
+import sys
 from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from pathlib import Path
 
 import pytest
+from aioquic.quic.configuration import QuicConfiguration
 from zinniahook_core.configuration import Document, KeyRing, Operator
 from zinniahook_core.models import Address, Key, Service
 from zinniahook_daemon.node import Node
+from zinniahook_daemon.quic import make_configuration
 from zinniahook_daemon.settings import (
     AgentSettings,
     ControlSettings,
@@ -25,6 +28,9 @@
 from zinniahook_wire import documents
 from zinniahook_wire.documents import Parts, Pointer
 
+# Lets the tests of this folder import the modules beside them.
+sys.path.insert(0, str(Path(__file__).parent))
+
 ANY_PORT = Address("127.0.0.1", 0)
 KEYS = KeyRing({1: Key(1, b"f" * 32)}, {1: Key(1, b"t" * 32)}, 1, 1)
 PATIENCE = 20.0
@@ -126,6 +132,13 @@
     return Nodes(tmp_path)
 
 
+@pytest.fixture
+def quic_configuration(tmp_path: Path) -> QuicConfiguration:
+    """Make what a service's QUIC server is configured with."""
+    files = Authority(tmp_path).issue("service")
+    return make_configuration(files.certificate, files.key)
+
+
 @pytest.fixture
 def eventually():
     return until
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,16 @@
 """A small deployment of real processes, shared by the tests of a module."""
 
 import asyncio
+import pathlib
+import sys
 
 import pytest
 from zinniahook_testkit.clusters import Cluster
 from zinniahook_testkit.deployments import LEDGER, TALLY, Deployment, ServicePlan
 
+# Lets the tests of this folder import the modules beside them.
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+
 PULSE = ServicePlan(
     name="pulse",
     number=3,
--- /dev/null
+++ b/tests/test_agent_failures.py
@@ -0,0 +1,170 @@
+"""Agents that pause, die or hear nothing, as real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+
+import pytest
+from agent_deployments import Deployment, until
+from zinniahook_caller import NotRunError, OutcomeError, Session
+from zinniahook_core.models import AgentState
+
+
+@pytest.fixture
+def deployment(tmp_path: Path) -> Iterator[Deployment]:
+    deployment = Deployment(tmp_path)
+    with deployment.stack:
+        deployment.entries = [deployment.entry(number) for number in range(3)]
+        yield deployment
+
+
+class Clerks:
+    """File tickets without end and note what they are told of each."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.told: dict[str, str] = {}
+        self.stopping = asyncio.Event()
+
+    async def file(self, session: Session, name: int) -> None:
+        number = 0
+        while not self.stopping.is_set():
+            number += 1
+            ticket = f"t{name}-{number}"
+            try:
+                answer = await session.post(
+                    "/tickets", json={"ticket": ticket}, deadline=10
+                )
+                self.told[ticket] = "done" if answer.status == 200 else "failed"
+            except NotRunError:
+                self.told[ticket] = "not run"
+            except OutcomeError:
+                self.told[ticket] = "unknown"
+
+    async def run(self, scenario: Callable[[], Awaitable[None]]) -> None:
+        """File before, during and after a scenario."""
+        async with contextlib.AsyncExitStack() as stack:
+            sessions = [
+                await stack.enter_async_context(self.deployment.session())
+                for _ in range(6)
+            ]
+            filing = [
+                asyncio.ensure_future(self.file(session, name))
+                for name, session in enumerate(sessions)
+            ]
+            await until(lambda: len(self.told) > 20)
+            await scenario()
+            seen = len(self.told)
+            await until(lambda: len(self.told) > seen + 20)
+            self.stopping.set()
+            await asyncio.gather(*filing)
+
+    def check(self) -> None:
+        """Hold what was told against the targets' own records."""
+        runs: Counter[str] = Counter()
+        for member in self.deployment.members:
+            runs.update(member.ledger()["runs_by_ticket"])
+        words_by_ticket = self.told.items()
+        assert max(runs.values()) == 1
+        assert not [t for t, word in words_by_ticket if word == "done" and not runs[t]]
+        assert not [t for t, word in words_by_ticket if word == "not run" and runs[t]]
+
+
+class TestFailure:
+    def test_a_paused_agent_runs_nothing_twice(self, deployment: Deployment):
+        """An agent sleeps, is given up, and wakes with old work in hand.
+
+        Symptom: a ticket runs twice, or runs after its caller was told that
+        it hasn't. Sequence: tickets without end, SIGSTOP, the peer marks the
+        agent down and goes on, SIGCONT. Cause: a process that wakes acts on
+        an authority that it has lost.
+        """
+        members = [
+            deployment.member(f"tally-{number}", service_time=0.1)
+            for number in range(2)
+        ]
+        paused = members[0].agent
+
+        async def scenario() -> None:
+            _, incarnation = await asyncio.to_thread(deployment.stored, "tally-0")
+            paused.pause()
+            await until(lambda: deployment.stored("tally-0")[0] is AgentState.DOWN)
+            paused.resume()
+            await until(lambda: deployment.stored("tally-0")[0] is AgentState.READY)
+            _, later = await asyncio.to_thread(deployment.stored, "tally-0")
+            assert later > incarnation
+
+        async def main() -> None:
+            clerks = Clerks(deployment)
+            await clerks.run(scenario)
+            clerks.check()
+
+        asyncio.run(main())
+
+    def test_a_killed_agent_and_its_successor(self, deployment: Deployment):
+        """An agent dies with tickets in hand, and another takes its place.
+
+        Symptom: a ticket runs twice, or its caller is told "not run" though
+        it ran. Sequence: tickets without end, SIGKILL, a new agent beside
+        the same target at once. Cause: what the dead agent had claimed and
+        what it ran is known to nobody for certain.
+        """
+        members = [
+            deployment.member(f"tally-{number}", service_time=0.1)
+            for number in range(3)
+        ]
+
+        async def scenario() -> None:
+            members[0].agent.kill()
+            members[0].agent = await asyncio.to_thread(
+                deployment.agent, "tally-0", members[0].target
+            )
+            await until(lambda: deployment.stored("tally-0")[0] is AgentState.READY)
+
+        async def main() -> None:
+            clerks = Clerks(deployment)
+            await clerks.run(scenario)
+            clerks.check()
+
+        asyncio.run(main())
+
+
+class TestSilence:
+    def test_answers_leave_an_entry_that_loses_them(self, deployment: Deployment):
+        """An entry takes datagrams and sends none; the fabric doesn't notice.
+
+        Symptom: feeds stop for good though their callers are heard.
+        Sequence: feeds are open, one entry of three is stopped, the fabric
+        goes on spraying to it. Cause: an agent answers by way of the entry
+        that it heard last, and nothing tells it that this one is mute.
+        """
+        member = deployment.member("tally-0")
+        path = "/tally/feed?every=0.1&count=60"
+
+        async def feed(session: Session, begun: asyncio.Event) -> list[int]:
+            numbers = []
+            async with session.stream("GET", path, deadline=20) as answer:
+                async for line in answer.iter_lines():
+                    numbers.append(json.loads(line)["n"])
+                    begun.set()
+            return numbers
+
+        async def scenario() -> None:
+            async with contextlib.AsyncExitStack() as stack:
+                feeds = []
+                for _ in range(8):
+                    session = await stack.enter_async_context(deployment.session())
+                    begun = asyncio.Event()
+                    feeds.append(asyncio.ensure_future(feed(session, begun)))
+                    await begun.wait()
+                deployment.entries[0].pause()
+                numbers = await asyncio.gather(*feeds)
+                assert numbers == [list(range(1, 61))] * 8
+            assert member.ledger()["counts"]["finished_feed"] == 8
+
+        asyncio.run(scenario())
