--- a/packages/zinniahook-testkit/src/zinniahook_testkit/bench.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/bench.py
@@ -23,6 +23,7 @@
     "changes",
     "connections",
     "decisions",
+    "distributions",
     "experiments",
     "packets",
     "rollout",
--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/distributions.py
@@ -0,0 +1,413 @@
+"""What it costs daemons to tell each other of changes, at the size to design for.
+
+Real processes: the stand-in store, an entry that learns from it and one that
+learns from the first entry through a proxy, which counts the bytes of TLS,
+HTTP/2 and the messages both ways. A second proxy stands before a subscriber
+that wants a single service. Headers of TCP and IP are not counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import ssl
+import tempfile
+from collections.abc import Iterator
+from contextlib import ExitStack, aclosing
+from pathlib import Path
+from typing import NamedTuple
+
+import tomli_w
+from grpclib.client import Channel
+from zinniahook_core.configuration import Document
+from zinniahook_core.models import Address, RequestClass, Service
+from zinniahook_store import Store, Written
+from zinniahook_store.configurations import new_keys
+from zinniahook_wire import documents
+from zinniahook_wire.control_grpc import ControlStub
+from zinniahook_wire.control_pb2 import SubscribeRequest
+from zinniahook_wire.rosters import OPERATIONS_KEPT
+
+from . import faults, stores
+from .certificates import Authority, Files
+from .processes import Process, start
+from .scenarios import Figure, scenario
+from .slopes import roster
+
+__all__ = ["Bench", "Listener", "Spent", "measure"]
+
+READY_TIMEOUT = 90.0
+"""Seconds for an entry to read, or to learn, everything."""
+
+ARRIVAL_TIMEOUT = 30.0
+"""Seconds for a change to reach a subscriber."""
+
+SETTLED = 0.1
+"""Seconds after the arrival in which what belongs to a change still flows."""
+
+IDLE = 10.0
+"""Seconds over which the digests are counted."""
+
+HEADERS = 104
+"""Bytes of IPv4 and TCP with timestamps around one message and its
+acknowledgement, assumed; a proxy doesn't see them."""
+
+DAY = 86400.0
+FIRST_PORT = 10_000
+WATCHED = "service-1"
+"""The service of the subscriber that wants a single one."""
+
+CLASSES_BY_NAME = {
+    name: RequestClass(name, f"/{name}") for name in ("stream", "ticket", "export")
+}
+
+
+class Spent(NamedTuple):
+    """Bytes to each kind of subscriber, and processor seconds of both entries."""
+
+    all_services: float
+    one_service: float
+    parent: float
+    child: float
+
+    def __sub__(self, other: Spent) -> Spent:
+        return Spent(*(a - b for a, b in zip(self, other, strict=True)))
+
+    def __truediv__(self, count: float) -> Spent:
+        return Spent(*(value / count for value in self))
+
+
+class Costs(NamedTuple):
+    """What a second without changes costs, and one change of each kind."""
+
+    idle: Spent
+    change: Spent
+    own: Spent
+    roster: Spent
+
+
+class Listener:
+    """A subscriber that wants the roster of one service.
+
+    Parameters
+    ----------
+    address : Address
+        Control address of the daemon to learn from.
+    context : ssl.SSLContext
+        With the certificate of a daemon.
+    """
+
+    def __init__(self, address: Address, context: ssl.SSLContext) -> None:
+        self.generation = self.revision = 0
+        self._channel = Channel(address.host, address.port, ssl=context)
+        self._changed = asyncio.Condition()
+        self._reading = asyncio.create_task(self._read())
+
+    async def wait(self, generation: int = 0, revision: int = 0) -> None:
+        """Wait until a generation and a revision of the roster have come."""
+        async with asyncio.timeout(ARRIVAL_TIMEOUT), self._changed:
+            await self._changed.wait_for(
+                lambda: self.generation >= generation and self.revision >= revision
+            )
+
+    async def aclose(self) -> None:
+        """End the subscription."""
+        self._reading.cancel()
+        await asyncio.wait([self._reading])
+        self._channel.close()
+
+    async def _read(self) -> None:
+        request = SubscribeRequest(
+            subscriber="127.0.0.1:1", revisions_by_service={WATCHED: 0}
+        )
+        async with ControlStub(self._channel).Subscribe.open() as stream:
+            await stream.send_message(request, end=True)
+            async for update in stream:
+                async with self._changed:
+                    self._note(update)
+                    self._changed.notify_all()
+
+    def _note(self, update) -> None:
+        if update.WhichOneof("update") == "digest":
+            # Sent after all that it sums up.
+            self.generation = update.digest.generation
+        elif update.WhichOneof("update") == "roster":
+            self.revision = update.roster.revision
+
+
+class Bench:
+    """The processes and what is in force among them.
+
+    Parameters
+    ----------
+    stack : ExitStack
+        Ends the processes when it closes.
+    services, members : int
+        How many services there are, and targets of all of them.
+    seed : int
+        Of the ids of writes.
+    """
+
+    def __init__(
+        self, stack: ExitStack, services: int, members: int, seed: int
+    ) -> None:
+        self._stack = stack
+        self._rng = random.Random(seed)
+        self._folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        self._files = Authority(self._folder).issue("bench")
+        self._keys = new_keys()
+        self._generation = 0
+        self._services = {one.name: one for one in map(_service, _numbers(services))}
+        self._sizes = {
+            name: members // services + (number <= members % services)
+            for number, name in enumerate(self._services, 1)
+        }
+        self.server = stack.enter_context(stores.start())
+        self.store = Store([self.server.address])
+
+    async def start(self) -> None:
+        """Fill the store, and start the entries and the proxies."""
+        await self._commit_services()
+        values_by_key = {
+            documents.roster_key(name): self._roster(name) for name in self._services
+        }
+        _written(await self.store.put_many(values_by_key))
+        self.parent = self._entry(1, None)
+        control = self.parent.ready["control"]
+        self.to_child = self._stack.enter_context(faults.start(control))
+        self.to_listener = self._stack.enter_context(faults.start(control))
+        self.child = self._entry(2, self.to_child.address)
+
+    def listen(self, address: str) -> Listener:
+        """Subscribe for one service at a control address."""
+        return Listener(Address.parse(address), _context(self._files))
+
+    def draw(self, rng: random.Random, count: int) -> list[str]:
+        """Draw services besides the one that listeners want."""
+        return rng.sample([name for name in self._services if name != WATCHED], count)
+
+    async def change(self, name: str) -> int:
+        """Change one service; return the generation."""
+        service = self._services[name]
+        self._services[name] = service._replace(drain=service.drain + 1.0)
+        return await self._commit_services()
+
+    async def change_roster(self, name: str) -> int:
+        """Write a roster once more, as after a target's change; return its revision."""
+        outcome = await self.store.put(documents.roster_key(name), self._roster(name))
+        return _written(outcome)
+
+    def spent(self) -> Spent:
+        """Return what has been spent up to now."""
+        return Spent(
+            sum(self.to_child.state()["bytes"].values()),
+            sum(self.to_listener.state()["bytes"].values()),
+            _processor_time(self.parent),
+            _processor_time(self.child),
+        )
+
+    async def _commit_services(self) -> int:
+        self._generation += 1
+        operation = self._operation()
+        parts = documents.split(
+            Document(self._services),
+            self._keys,
+            generation=self._generation,
+            parent=self._generation - 1,
+            author="an-operator",
+            time=1.8e9 + self._generation / 7,
+            operation=operation,
+        )
+        values_by_key = dict(parts.values_by_key)
+        if self._generation > 1:
+            held = await self.store.get_many(list(values_by_key))
+            values_by_key = {
+                key: value for key, value in values_by_key.items() if key not in held
+            }
+        _written(await self.store.put_many(values_by_key))
+        key = documents.generation_key(self._generation)
+        pointer = documents.Pointer(self._generation, operation)
+        last = {
+            key: documents.manifest_to_json(parts.manifest),
+            documents.POINTER_KEY: documents.pointer_to_json(pointer),
+        }
+        _written(await self.store.transact({}, last))
+        return self._generation
+
+    def _roster(self, name: str) -> bytes:
+        members = roster(name, self._sizes[name], self._services[name].number * 8)
+        operations = [self._operation() for _ in range(OPERATIONS_KEPT)]
+        return documents.roster_to_json(members, operations)
+
+    def _operation(self) -> str:
+        return self._rng.randbytes(8).hex()
+
+    def _entry(self, number: int, parent: str | None) -> Process:
+        host = f"127.0.2.{number}"
+        control = {
+            "address": "127.0.0.1:0",
+            "certificate": str(self._files.certificate),
+            "key": str(self._files.key),
+            "authority": str(self._files.authority),
+            "parents": [parent] if parent else [],
+            "watchers": 0,
+        }
+        settings = {
+            "role": "entry",
+            "name": f"entry-{number}",
+            "data_centre": "dc-1",
+            "store": {"addresses": [self.server.address]},
+            "tunnel": {"address": f"{host}:0"},
+            "control": control,
+            "entry": {"bind_host": host, "drain": 0.0},
+        }
+        path = self._folder / f"entry-{number}.toml"
+        path.write_text(tomli_w.dumps(settings))
+        process = start(
+            "zinniahook_daemon.main", "--settings", path, timeout=READY_TIMEOUT
+        )
+        return self._stack.enter_context(process)
+
+
+@scenario("distribution")
+def measure(
+    services: int,
+    members: int,
+    changes: int,
+    changes_a_day: int,
+    fan_out: int,
+    leaves: int,
+    seed: int = 1,
+) -> list[Figure]:
+    """Measure bytes and processor time of changes, and of digests while idle.
+
+    Parameters
+    ----------
+    services, members : int
+        How many services there are, and targets of all of them.
+    changes : int
+        Changes of each kind, one after the other.
+    changes_a_day : int
+        For the bytes a second, evenly over the day.
+    fan_out, leaves : int
+        Subscribers of one daemon, those of all services and those of one.
+    seed : int
+        Of what is changed.
+    """
+    with ExitStack() as stack:
+        bench = Bench(stack, services, members, seed)
+        costs = asyncio.run(_measure(bench, changes, random.Random(seed)))
+    a_second = _rates(costs, changes_a_day / DAY)
+    relay = a_second.all_services * fan_out + a_second.one_service * leaves
+    return [
+        Figure("change, all services", costs.change.all_services, "B"),
+        Figure("change of another, one service", costs.change.one_service, "B"),
+        Figure("change of its own, one service", costs.own.one_service, "B"),
+        Figure("change of a roster", costs.roster.all_services, "B"),
+        Figure("digests a second, all services", costs.idle.all_services, "B/s"),
+        Figure("digests a second, one service", costs.idle.one_service, "B/s"),
+        Figure("subscriber of all services", a_second.all_services, "B/s"),
+        Figure("subscriber of one service", a_second.one_service, "B/s"),
+        Figure("daemon with its subscribers", relay, "B/s"),
+        Figure("parent's processor time a change", costs.change.parent * 1e3, "ms"),
+        Figure("child's processor time a change", costs.change.child * 1e3, "ms"),
+    ]
+
+
+async def _measure(bench: Bench, changes: int, rng: random.Random) -> Costs:
+    await bench.start()
+    async with (
+        aclosing(bench.listen(bench.to_listener.address)) as near,
+        aclosing(bench.listen(bench.child.ready["control"])) as far,
+    ):
+        await near.wait(1, 1)
+        await far.wait(1, 1)
+        idle = await _idle(bench)
+        change = await _changes(bench, (near, far), bench.draw(rng, changes))
+        own = await _changes(bench, (near, far), [WATCHED] * changes)
+        written = await _rosters(bench, (near, far), changes)
+    bench.store.close()
+    return Costs(idle, change, own, written)
+
+
+def _rates(costs: Costs, changes: float) -> Spent:
+    """Return what is spent a second, with headers, at so many changes a second."""
+    idle, change = costs.idle, costs.change
+    return Spent(
+        idle.all_services + HEADERS + (change.all_services + HEADERS) * changes,
+        idle.one_service + HEADERS + (change.one_service + HEADERS) * changes,
+        idle.parent + change.parent * changes,
+        idle.child + change.child * changes,
+    )
+
+
+async def _idle(bench: Bench) -> Spent:
+    """Return what is spent a second while nothing changes."""
+    before = bench.spent()
+    await asyncio.sleep(IDLE)
+    return (bench.spent() - before) / IDLE
+
+
+async def _changes(
+    bench: Bench, listeners: tuple[Listener, ...], names: list[str]
+) -> Spent:
+    before = bench.spent()
+    for name in names:
+        generation = await bench.change(name)
+        for listener in listeners:
+            await listener.wait(generation=generation)
+        await asyncio.sleep(SETTLED)
+    return (bench.spent() - before) / len(names)
+
+
+async def _rosters(bench: Bench, listeners: tuple[Listener, ...], count: int) -> Spent:
+    before = bench.spent()
+    for _ in range(count):
+        revision = await bench.change_roster(WATCHED)
+        for listener in listeners:
+            await listener.wait(revision=revision)
+        await asyncio.sleep(SETTLED)
+    return (bench.spent() - before) / count
+
+
+def _numbers(count: int) -> Iterator[int]:
+    return iter(range(1, count + 1))
+
+
+def _service(number: int) -> Service:
+    name = f"service-{number}"
+    return Service(
+        name,
+        number,
+        Address("10.200.0.1", FIRST_PORT + number),
+        classes_by_name=CLASSES_BY_NAME,
+        targets=(f"{name}-*",),
+        data_centres=("thies-1", "thies-2", "thies-3"),
+    )
+
+
+def _written(outcome) -> int:
+    """Return the revision of a write.
+
+    Raises
+    ------
+    RuntimeError
+        If it was not written.
+    """
+    if not isinstance(outcome, Written):
+        raise RuntimeError(f"not written: {outcome}")
+    return outcome.revision
+
+
+def _context(files: Files) -> ssl.SSLContext:
+    context = ssl.create_default_context(cafile=files.authority)
+    context.check_hostname = False
+    context.load_cert_chain(files.certificate, files.key)
+    context.set_alpn_protocols(["h2"])
+    return context
+
+
+def _processor_time(process: Process) -> float:
+    """Return the process's time on a processor, in seconds, to the nanosecond."""
+    with open(f"/proc/{process.pid}/schedstat") as file:
+        return int(file.read().split()[0]) / 1e9
