--- a/packages/zinniahook-core/src/zinniahook_core/arbiters.py
+++ b/packages/zinniahook-core/src/zinniahook_core/arbiters.py
@@ -213,7 +213,8 @@
         self, now: float, sender: str, ask: ClaimAsk, record: Record
     ) -> ClaimAnswer:
         own = (record.runner, record.incarnation) == (sender, ask.incarnation)
-        if own and 0 < ask.attempt <= record.refused:
+        runs = ask.intent is ClaimIntent.RUN
+        if own and runs and 0 < ask.attempt <= record.refused:
             # A grant that was never used must not outlive a refusal of the
             # same attempt, which came after it.
             return ClaimAnswer(ask.number, ask.key, ClaimState.REFUSED, sender)
