Tell every bad input of an operator in one line with its code

Tried by hand: 20,000 random statements, settings files that are missing, directories, binary, of wrong types or nested 5,000 deep, garbage certificates, a store that is down. Three ended in a traceback: deep nesting in each of the three TOML files (RecursionError), and a statement with a space that the grammar doesn't know, such as a no-break space from a copied page (IndexError). Besides, a taken address was told with code 0 and without the address, a file of statements that can't be read had the code of a wrong configuration, so that JSON said refused where the status was 2, and a host name in entry.bind_host was taken and looked up on the loop.

--- a/packages/zinniahook-cli/src/zinniahook_cli/grammar.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/grammar.py
@@ -14,6 +14,9 @@
 
 __all__ = ["CommandError", "keywords", "parse"]
 
+SPACES = " \t\n"
+"""What stands between words; any other space is a wrong character."""
+
 TEXT_BY_TERMINAL = {
     "WORD": "a name",
     "STRING": "a quoted text",
@@ -51,7 +54,7 @@
     def pointed(self, source: str) -> str:
         """Return the message below the line of ``source`` it points at."""
         message = f"{self.code.name} {int(self.code)}: {self}"
-        lines = source.splitlines()
+        lines = source.split("\n")
         if self.word is None or not 1 <= self.word.line <= len(lines):
             return message
         mark = " " * (self.word.column - 1) + "^" * max(1, len(self.word.text))
@@ -99,11 +102,14 @@
         text = "" if error.token.type == "$END" else str(error.token)
     elif isinstance(error, UnexpectedCharacters):
         expected = error.allowed or set()
-        text = source[error.pos_in_stream :].split(maxsplit=1)[0]
+        rest = source[error.pos_in_stream :]
+        # A space that the grammar doesn't know, such as U+00A0 from a page
+        # that was copied, is what is wrong; it isn't in front of a word.
+        text = rest[0] if rest[0].isspace() else rest.split(maxsplit=1)[0]
     else:
         expected = set()
     wanted = sorted({_wanted(name) for name in expected})
-    found = repr(text) if text.strip() else "the end"
+    found = repr(text) if text.strip(SPACES) else "the end"
     word = _place(error, source, text)
     return CommandError(f"found {found}, expected {' or '.join(wanted)}", word=word)
 
@@ -116,12 +122,12 @@
 
 def _place(error: UnexpectedInput, source: str, text: str) -> Word:
     """Point at the word, or just behind the last one if the end is wrong."""
-    if text.strip():
+    if text.strip(SPACES):
         return Word(text, error.line, error.column)
     if text == "\n":
-        lines = source.splitlines()
+        lines = source.split("\n")
         return Word("", error.line, len(lines[error.line - 1]) + 1)
-    lines = source.splitlines() or [""]
+    lines = source.removesuffix("\n").split("\n")
     return Word("", len(lines), len(lines[-1]) + 1)
 
 
--- a/packages/zinniahook-cli/src/zinniahook_cli/main.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/main.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import defopt
-from zinniahook_core.codes import ZinniahookError
+from zinniahook_core.codes import Code, ZinniahookError
 from zinniahook_store import Store, configurations
 
 from . import grammar
@@ -100,7 +100,8 @@
     try:
         return sys.stdin.read() if str(file) == "-" else file.read_text("utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(f"{file}: {error}") from None
+        reason = f"{file}: {error}"
+        raise SettingsError(reason, Code.SETTINGS_UNREADABLE) from None
 
 
 async def _run(
--- a/packages/zinniahook-cli/src/zinniahook_cli/settings.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/settings.py
@@ -55,6 +55,9 @@
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         reason = f"{file}: {error}"
         raise SettingsError(reason, Code.SETTINGS_UNREADABLE) from None
+    except RecursionError:
+        reason = f"{file}: nested too deeply"
+        raise SettingsError(reason, Code.SETTINGS_UNREADABLE) from None
 
 
 def _value(name: str, value: Any, hints: dict[str, Any], file: Path | None) -> Any:
--- a/packages/zinniahook-cli/tests/test_grammar.py
+++ b/packages/zinniahook-cli/tests/test_grammar.py
@@ -62,6 +62,19 @@
         assert mark.index("^") == column - 1
         assert "510" in message
 
+    @pytest.mark.parametrize("space", ["\u00a0", "\u2028", "\x0b"])
+    def test_a_space_that_is_none_is_pointed_at(self, space):
+        """A statement was copied from a page.
+
+        Symptom: a traceback. Sequence: the copy ends in a no-break space.
+        Cause: the parser refuses it, and no word follows that could be named.
+        """
+        with pytest.raises(CommandError) as caught:
+            parse(f"show services{space}")
+        assert caught.value.code is Code.COMMAND_SYNTAX
+        assert caught.value.word.column == 14
+        assert repr(space) in str(caught.value)
+
     def test_an_end_that_came_too_early(self):
         with pytest.raises(CommandError) as caught:
             parse("diff 41")
--- a/packages/zinniahook-cli/tests/test_main.py
+++ b/packages/zinniahook-cli/tests/test_main.py
@@ -30,6 +30,7 @@
             ('store = "127.0.0.1:1"\nkey = "missing.key"', 504),
             ('store = "127.0.0.1:1"\ntimeout = -1', 502),
             ("store =", 500),
+            (f"store = {'[' * 5000}", 500),
         ],
     )
     def test_a_wrong_file_is_told_by_code(self, tmp_path, capsys, text, code):
@@ -38,6 +39,19 @@
         assert zinniahook("show", "services", settings=file) == Status.USAGE
         assert f" {code}: " in capsys.readouterr().err
 
+    def test_statements_that_cannot_be_read_are_a_wrong_use(
+        self, settings, tmp_path, capsys
+    ):
+        """Symptom: the JSON said refused, the status of the process 2.
+
+        Sequence: statements are to come from a file that isn't there.
+        Cause: the error had the code of a wrong configuration.
+        """
+        file = tmp_path / "none.txt"
+        status = zinniahook(file=file, settings=settings, json=True)
+        answer = json.loads(capsys.readouterr().out)
+        assert (status, answer["status"], answer["code"]) == (2, "usage", 500)
+
     def test_flags_go_before_the_file(self, settings, capsys):
         status = zinniahook("show services", settings=settings, store="127.0.0.1:1")
         assert status == Status.UNREACHABLE
--- a/packages/zinniahook-core/src/zinniahook_core/configuration.py
+++ b/packages/zinniahook-core/src/zinniahook_core/configuration.py
@@ -145,6 +145,9 @@
         table = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise ConfigurationError((Problem("document", str(error)),)) from None
+    except RecursionError:
+        problem = Problem("document", "nested too deeply")
+        raise ConfigurationError((problem,)) from None
     document = from_table(table)
     problems = validate(document)
     if problems:
--- a/packages/zinniahook-core/tests/test_configuration.py
+++ b/packages/zinniahook-core/tests/test_configuration.py
@@ -102,6 +102,7 @@
         ("text", "key"),
         [
             ("x =", "document"),
+            ("x = " + "[" * 5000, "document"),
             ("services = 3", "services"),
             ("[services.'a b']\nnumber = 1\naddress = '1.1.1.1:1'", "services.a b"),
             ("[services.a]\naddress = '1.1.1.1:1'", "services.a.number"),
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/node.py
@@ -99,12 +99,18 @@
 
         Raises
         ------
-        OSError
-            If an address can't be bound.
+        ZinniahookError
+            SETTINGS_ADDRESS, if an address can't be bound.
         """
-        self._socket = UdpSocket(self.settings.tunnel.address, self._receive)
+        try:
+            self._socket = UdpSocket(self.tunnel_address, self._receive)
+        except OSError as error:
+            raise _unbound("tunnel", self.tunnel_address, error) from None
         self.tunnel_address = self._socket.address
-        self.control_address = await self.control.start()
+        try:
+            self.control_address = await self.control.start()
+        except OSError as error:
+            raise _unbound("control", self.control_address, error) from None
         self.distribution.start()
         if self.settings.role is Role.ENTRY:
             self.announcement = Announcement(self)
@@ -284,3 +290,8 @@
         timer.start()
         self._timers.append(timer)
         return timer
+
+
+def _unbound(name: str, address: Address, error: OSError) -> ZinniahookError:
+    reason = error.strerror or str(error)
+    return ZinniahookError(f"{name}.address {address}: {reason}", Code.SETTINGS_ADDRESS)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/settings.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/settings.py
@@ -179,11 +179,15 @@
         raise place.error(Code.SETTINGS_UNREADABLE, reason) from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise place.error(Code.SETTINGS_UNREADABLE, f"not TOML: {error}") from None
+    except RecursionError:
+        raise place.error(Code.SETTINGS_UNREADABLE, "nested too deeply") from None
     settings = _read_section(Settings, document, place)
     if not settings.store.addresses:
         raise place.inside("store.addresses").error(
             Code.SETTINGS_ADDRESS, "should hold at least one address"
         )
+    if settings.entry.bind_host:
+        _check_host(settings.entry.bind_host, place.inside("entry.bind_host"))
     if not settings.control.fan_out:
         raise place.inside("control.fan_out").error(
             Code.SETTINGS_TYPE, "should be at least 1"
@@ -259,12 +263,20 @@
         raise place.error(Code.SETTINGS_TYPE, 'should be a string "host:port"')
     try:
         address = Address.parse(value)
-        ipaddress.ip_address(address.host)
     except ValueError as error:
         raise place.error(Code.SETTINGS_ADDRESS, str(error)) from None
+    _check_host(address.host, place)
     return address
 
 
+def _check_host(host: str, place: _Place) -> None:
+    """Refuse a host name: to look it up would hold the loop."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise place.error(Code.SETTINGS_ADDRESS, str(error)) from None
+
+
 @_reads(tuple[Address, ...])
 def _read_addresses(value: Any, place: _Place) -> tuple[Address, ...]:
     if not isinstance(value, list):
--- a/packages/zinniahook-daemon/tests/test_settings.py
+++ b/packages/zinniahook-daemon/tests/test_settings.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import json
 import os
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -11,6 +13,7 @@
 from zinniahook_core.codes import Code
 from zinniahook_core.models import Address
 from zinniahook_daemon.settings import Role, SettingsError, load
+from zinniahook_testkit.certificates import Authority
 
 ENTRY = """
 role = "entry"
@@ -90,6 +93,13 @@
             ),
             ('"ca.pem"', '"x.pem"', "control.authority", Code.SETTINGS_FILE_MISSING),
             ('"entry-1"', '"entry-1', "", Code.SETTINGS_UNREADABLE),
+            ('"entry-1"', "[" * 5000, "", Code.SETTINGS_UNREADABLE),
+            (
+                "[control]",
+                '[entry]\nbind_host = "here"\n[control]',
+                "entry.bind_host",
+                Code.SETTINGS_ADDRESS,
+            ),
         ],
     )
     def test_names_key_and_code(self, directory, old, new, key, code):
@@ -120,6 +130,26 @@
         done = self.run("--settings", write(directory, ENTRY), "--check")
         assert (done.returncode, done.stdout, done.stderr) == (0, "", "")
 
+    def test_a_taken_address_is_told_with_its_code(self, directory):
+        """Two daemons of one machine were given the same address.
+
+        Symptom: the second one ends, and its log has code 0 and no address.
+        Sequence: the tunnel's address is bound, a daemon starts on it.
+        Cause: the error of the system names neither.
+        """
+        Authority(directory).issue("daemon")
+        text = ENTRY.replace('"ca.pem"', '"authority.pem"')
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+            taken.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{taken.getsockname()[1]}"
+            text = text.replace("127.0.0.1:0", address, 1)
+            done = self.run("--settings", write(directory, text))
+        assert (done.returncode, done.stdout) == (1, "")
+        lines = [json.loads(line) for line in done.stderr.splitlines()]
+        assert lines[-1]["event"] == "failed"
+        assert lines[-1]["code"] == Code.SETTINGS_ADDRESS
+        assert address in lines[-1]["reason"]
+
     def test_check_fails_with_one_line(self, directory):
         file = write(directory, ENTRY.replace("[tunnel]", "[tunel]"))
         done = self.run("--settings", file, "--check")
