Know subscribers by their control addresses

Cause: daemons name their subscribers by control address, operators' waits looked for these among names. Wherever daemons learned from each other a change was told as lagging for ever; no test saw it, as the clusters of the tests had every daemon at the store. Change: compare addresses. Clusters have an attribute watchers, explicitly 0, and the test of a change in force runs with 2 as well.

--- a/packages/zinniahook-cli/src/zinniahook_cli/fleets.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/fleets.py
@@ -42,12 +42,11 @@
 
     @property
     def unlisted(self) -> tuple[str, ...]:
-        """Daemons that learn from others but that nothing tells how to reach."""
+        """Control addresses of daemons that learn from others but are in no list."""
         replies = self.survey.answers_by_control.values()
-        known = {reply.name for reply in replies}
-        known.update(member.name for _, member in self.agents)
-        known.update(self.daemons_by_name)
-        named = {name for reply in replies for name in reply.subscribers}
+        known = set(map(str, self.controls))
+        known.update(str(member.control) for _, member in self.agents)
+        named = {control for reply in replies for control in reply.subscribers}
         return tuple(sorted(named - known))
 
     def reply(self, control: Address) -> StatusReply | None:
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/clusters.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/clusters.py
@@ -68,8 +68,16 @@
         An empty folder for certificates and settings.
     seed : int
         Of the fabric's faults and the targets' service times.
+
+    Attributes
+    ----------
+    watchers : int
+        Daemons of each data centre that watch the store; every one if 0, so
+        that a fault of one daemon doesn't delay what another one learns.
     """
 
+    watchers = 0
+
     def __init__(self, deployment: Deployment, folder: Path, seed: int = 1) -> None:
         self.deployment = deployment
         self.folder = folder
@@ -375,6 +383,7 @@
                 "certificate": str(self._daemon.certificate),
                 "key": str(self._daemon.key),
                 "authority": str(self.authority.file),
+                "watchers": self.watchers,
             },
         }
 
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/rollout.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/rollout.py
@@ -13,7 +13,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 from statistics import linear_regression, quantiles
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from zinniahook_core.configuration import Document
 from zinniahook_core.models import Address, AgentState, Member, Roster, Service
@@ -79,17 +79,6 @@
         return max(self.chunk, self.manifest, self.roster)
 
 
-class _Tree(Cluster):
-    """A cluster of which few daemons watch the store."""
-
-    watchers = 0
-
-    def _settings(self, name: str, role: str) -> dict[str, Any]:
-        settings = super()._settings(name, role)
-        settings["control"]["watchers"] = self.watchers
-        return settings
-
-
 def measure(
     daemons: int, changes: int, delay: float = 0.0, watchers: int = 0
 ) -> Rollout:
@@ -137,7 +126,7 @@
     plan = ServicePlan("tally", 1, daemons - entries, 4, (Class("all", "/"),))
     deployment = Deployment("rollout", ("east", "west"), entries, 0.0, (plan,))
     with tempfile.TemporaryDirectory() as folder:
-        cluster = _Tree(deployment, Path(folder))
+        cluster = Cluster(deployment, Path(folder))
         cluster.watchers = watchers
         async with cluster:
             await cluster.change(_drain_of(1.5))
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -59,11 +59,11 @@
 def run(tmp_path):
     """Run a scenario that takes a cluster and an operator."""
 
-    def start(scenario, deployment=DEPLOYMENT):
+    def start(scenario, deployment=DEPLOYMENT, kind=Cluster):
         async def whole():
             async with (
                 asyncio.timeout(BOUND),
-                Cluster(deployment, tmp_path) as cluster,
+                kind(deployment, tmp_path) as cluster,
             ):
                 await scenario(cluster, Operator(cluster))
 
@@ -103,8 +103,22 @@
     return check(Evidence(tuple(await cluster.ledgers()), tuple(results)))
 
 
+class TreeCluster(Cluster):
+    """A cluster in which agents learn from entries, as by default."""
+
+    watchers = 2
+
+
 class TestInForce:
-    def test_a_change_is_in_force_on_every_daemon(self, run):
+    @pytest.mark.parametrize("kind", [Cluster, TreeCluster])
+    def test_a_change_is_in_force_on_every_daemon(self, run, kind):
+        """
+        Symptom: an operator is told that a change lags where it doesn't.
+        Sequence: agents learn from entries; a change is committed.
+        Cause: the daemons that entries name as subscribers, by their control
+        addresses, were looked for by their names.
+        """
+
         async def scenario(cluster, amina):
             answer = await amina.run("set tally.ticket.queue = 64")
             assert answer.status is Status.OK
@@ -113,7 +127,7 @@
             replies = await cluster.statuses()
             assert {reply.generation for reply in replies} == {2}
 
-        run(scenario)
+        run(scenario, kind=kind)
 
     def test_a_daemon_that_lags_is_named(self, run):
         """
