Let two daemons of a data centre watch the store by default

Cause: by default every daemon watched the store, whose rates grow more slowly than the fleet. Change: control.watchers 2, control.fan_out 8 (0 and 16 before). Tests that rely on 0 set it. Tests of settings, tree, distribution and origin pass.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/settings.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/settings.py
@@ -53,13 +53,13 @@
     authority: Annotated[Path, "PEM file of the authority that signs all of them"]
     parents: Annotated[
         tuple[Address, ...],
-        "control addresses to learn from; empty: the store, or with watchers "
-        "set the daemons announced in the store",
+        "control addresses to learn from; empty: the daemons announced in the "
+        "store, or with watchers 0 the store itself",
     ] = ()
     watchers: Annotated[
         int, "daemons of a data centre that watch the store; 0: every one"
-    ] = 0
-    fan_out: Annotated[int, "daemons that learn from each other one, about"] = 16
+    ] = 2
+    fan_out: Annotated[int, "daemons that learn from each other one, about"] = 8
 
 
 class MetricsSettings(NamedTuple):
--- a/packages/zinniahook-daemon/tests/conftest.py
+++ b/packages/zinniahook-daemon/tests/conftest.py
@@ -58,6 +58,8 @@
         """Start a node; an agent's if ``service`` is given."""
         store = store or Address("127.0.0.1", closed_port())
         files = files or self.authority.issue(name)
+        # The parents that a test names, or the store: no places in a tree.
+        control.setdefault("watchers", 0)
         agent = AgentSettings(service, ANY_PORT, files.certificate, files.key)
         settings = Settings(
             role=Role.AGENT if service else Role.ENTRY,
