Let only the same attempt take over a lookup

Cause: an ask of a later attempt replaced the one that a lookup was made for, so a refusal of attempt 2 was learned as one of attempt 3, which a late copy then outran. Change: the attempt has to be the same.

--- a/packages/zinniahook-core/src/zinniahook_core/lookups.py
+++ b/packages/zinniahook-core/src/zinniahook_core/lookups.py
@@ -150,6 +150,9 @@
         """Let the same asker's repeated ask replace its earlier one."""
         lookup = self._by_key[ask.key]
         same = lookup.sender == sender and lookup.ask.intent is ask.intent
+        # Members were asked about this very attempt; a refusal that they told
+        # of must not be taken for one of a later attempt.
+        same = same and lookup.ask.attempt == ask.attempt
         if same and ask.number > lookup.ask.number:
             lookup.ask = ask
 
