Share what the stand-ins' processes do to be steered and to end

The store, the proxy and the fabric each bound an admin address, printed the ready line and waited for SIGTERM in the same 15 lines. They stand once now, in standins.serve. The fabric no longer logs admin requests that it refused, as the other two never did.

--- a/packages/zinniahook-testkit/src/zinniahook_testkit/fabric.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/fabric.py
@@ -14,15 +14,14 @@
 import heapq
 import json
 import random
-import signal
 import socket
 import sys
 from collections import Counter
 from typing import Any, NamedTuple, TypedDict
 
 import tornado.web
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
+
+from . import standins
 
 __all__ = ["Fabric", "FabricSettings", "Faults", "main"]
 
@@ -332,19 +331,8 @@
     rng = random.Random(settings.get("seed", 0))
     fabric = Fabric(host, settings["services"], settings.get("entries", []), rng)
     fabric.faults = Faults(**settings.get("faults", {}))
-    admin = bind_sockets(0, "127.0.0.1", socket.AF_INET)
     routes = [(r"/([a-z]+)", AdminHandler, {"fabric": fabric})]
-    HTTPServer(tornado.web.Application(routes)).add_sockets(admin)
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    ready = {
-        "admin": "{}:{}".format(*admin[0].getsockname()),
-        "services": fabric.addresses_by_service,
-    }
-    print(json.dumps({"ready": ready}), flush=True)
-    await stopped.wait()
+    await standins.serve(routes, services=fabric.addresses_by_service)
     fabric.close()
 
 
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/faults.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/faults.py
@@ -18,18 +18,15 @@
 import asyncio
 import contextlib
 import json
-import signal
 import socket
 import struct
 from typing import Any, NamedTuple
 
 import defopt
 import tornado.web
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from zinniahook_core.models import Address
 
-from . import processes
+from . import processes, standins
 
 __all__ = ["ProxyFaults", "ProxyProcess", "main", "start"]
 
@@ -274,20 +271,8 @@
     """Serve until SIGTERM."""
     proxy = Proxy(upstream, host, port)
     await proxy.listen()
-    admin = bind_sockets(0, host, socket.AF_INET)
     routes = [(r"/(faults|silence|cut|state)", AdminHandler, {"proxy": proxy})]
-    application = tornado.web.Application(routes, log_function=lambda handler: None)
-    HTTPServer(application).add_sockets(admin)
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    ready = {
-        "address": str(proxy.address),
-        "admin": "{}:{}".format(*admin[0].getsockname()),
-    }
-    print(json.dumps({"ready": ready}), flush=True)
-    await stopping.wait()
+    await standins.serve(routes, host, address=str(proxy.address))
     proxy.cut()
 
 
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/stores.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/stores.py
@@ -16,7 +16,6 @@
 import asyncio
 import contextlib
 import json
-import signal
 import socket
 import time
 from collections import Counter
@@ -29,7 +28,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from . import processes
+from . import processes, standins
 from .etcd import compare_of, event_of, put_of, span_of, stored, written_keys
 from .keyspaces import CompactedError, Event, Keyspace, within
 
@@ -389,21 +388,9 @@
 async def serve(host: str, port: int) -> None:
     """Serve until SIGTERM."""
     server = Server(host, port)
-    admin = bind_sockets(0, host, socket.AF_INET)
     routes = [(r"/(faults|compact|reset|state)", AdminHandler, {"server": server})]
-    application = tornado.web.Application(routes, log_function=lambda handler: None)
-    HTTPServer(application).add_sockets(admin)
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
     expiring = asyncio.ensure_future(server.expire())
-    ready = {
-        "address": "{}:{}".format(*server.address),
-        "admin": "{}:{}".format(*admin[0].getsockname()),
-    }
-    print(json.dumps({"ready": ready}), flush=True)
-    await stopping.wait()
+    await standins.serve(routes, host, address="{}:{}".format(*server.address))
     expiring.cancel()
 
 
