Suspend an agent that only two callers find silent

Symptom: with the store down, two of 40 plain UDP flows stayed dead after their agent had died. Sequence: they alone ranked it first; the entry asked for openings of three different callers. Cause: nobody else would ever come. Change: eight openings without an answer in between suspend it as well.

--- a/packages/zinniahook-core/src/zinniahook_core/suspensions.py
+++ b/packages/zinniahook-core/src/zinniahook_core/suspensions.py
@@ -19,7 +19,11 @@
 __all__ = ["Suspensions"]
 
 ANSWER_TIMEOUT = 1.0
-FAILURES_TO_SUSPEND = 3
+CALLERS_TO_SUSPEND = 3
+FAILURES_TO_SUSPEND = 8
+"""Of fewer callers: few may rank the agent first, and they would wait for
+ever for a third one."""
+
 SUSPENDED_SHARE = 0.5
 EVIDENCE_AGE = 10.0
 PROBE_FIRST = 1.0
@@ -34,6 +38,7 @@
 
     answered: float = float("-inf")
     failed_callers: set[Address] = field(default_factory=set)
+    failures: int = 0
     suspended: bool = False
     backoff: float = PROBE_FIRST
     probe_at: float = 0.0
@@ -118,6 +123,7 @@
         reinstated = standing.suspended
         standing.answered = now
         standing.failed_callers.clear()
+        standing.failures = 0
         standing.suspended = False
         standing.backoff = PROBE_FIRST
         return name if reinstated else None
@@ -132,7 +138,10 @@
         for caller, name in overdue:
             del self._pending_by_caller[caller]
             standing = self._standings_by_name.get(name)
-            if standing and len(standing.failed_callers) < FAILURES_TO_SUSPEND:
+            if standing is None:
+                continue
+            standing.failures += 1
+            if len(standing.failed_callers) < CALLERS_TO_SUSPEND:
                 standing.failed_callers.add(caller)
         return [name for _, name in overdue if self._suspend(now, name)]
 
@@ -140,7 +149,8 @@
         standing = self._standings_by_name.get(name)
         if standing is None or standing.suspended:
             return False
-        if len(standing.failed_callers) < FAILURES_TO_SUSPEND:
+        few_callers = len(standing.failed_callers) < CALLERS_TO_SUSPEND
+        if few_callers and standing.failures < FAILURES_TO_SUSPEND:
             return False
         if not self._others_answer(now, name) or not self._below_cap():
             return False
--- a/packages/zinniahook-core/tests/test_suspensions.py
+++ b/packages/zinniahook-core/tests/test_suspensions.py
@@ -50,6 +50,25 @@
         assert entry.suspensions.suspended == ("a-2",)
         assert entry.open(2000)["a-2"] <= 4
 
+    def test_two_callers_suffice_if_they_keep_failing(self):
+        """Flows that were dead for as long as the store was.
+
+        Symptom: a plain UDP flow never comes back. Sequence: its home dies
+        while the store is down, so no roster says so; only two flows rank
+        that agent first. Cause: the entry waited for a third caller.
+        """
+        suspensions = Suspensions(random.Random(1))
+        suspensions.replace(NAMES)
+        suspended = []
+        for second in range(10):
+            now = float(second) * (ANSWER_TIMEOUT + 0.1)
+            suspensions.opened(now, "a-1", caller(1))
+            suspensions.answered(now, caller(1))
+            for number in (2, 3):
+                suspensions.opened(now, "a-2", caller(number))
+            suspended += suspensions.expire(now + ANSWER_TIMEOUT)
+        assert suspended == ["a-2"]
+
     def test_an_agent_that_answers_again_is_reinstated(self):
         entry = Entry(dead=["a-2"])
         entry.open(300)
