--- a/docs/pages.py
+++ b/docs/pages.py
@@ -17,7 +17,7 @@
 from zinniahook_core import configuration, models, schema
 from zinniahook_core.models import Address
 from zinniahook_daemon.settings import Settings
-from zinniahook_testkit import capacity
+from zinniahook_testkit import capacity, tables
 
 DOCS = Path(__file__).parent
 OPERATORS = DOCS / "operators"
@@ -40,15 +40,18 @@
     return {
         OPERATORS / "settings.md": "\n".join(_settings()) + "\n",
         OPERATORS / "commands.md": "\n".join(_commands()) + "\n",
-        DOCS / "CAPACITY.md": _capacity(),
+        DOCS / "CAPACITY.md": _with_table("CAPACITY.md", capacity.table(RESULTS)),
+        DOCS / "benchmarks.md": _with_table(
+            "benchmarks.md", tables.results_table(RESULTS.parent)
+        ),
     }
 
 
-def _capacity() -> str:
-    """Return the capacity page with its table computed again."""
-    before, _, rest = (DOCS / "CAPACITY.md").read_text().partition(TABLE)
+def _with_table(page: str, table: str) -> str:
+    """Return a page of the documentation with its table computed again."""
+    before, _, rest = (DOCS / page).read_text().partition(TABLE)
     _, _, after = rest.partition(TABLE_END)
-    return f"{before}{TABLE}\n{capacity.table(RESULTS)}\n\n{TABLE_END}{after}"
+    return f"{before}{TABLE}\n{table}\n\n{TABLE_END}{after}"
 
 
 def _settings() -> Iterator[str]:
