Explain the parameters of public functions; name a setting of no class

A newcomer reads the docstrings and __init__ modules first. Setting a value of the classes of a service without classes said: no setting 'tally.queue'; did you mean 'tally.queue'? It now says that the service has no classes, with the same code 511; a test holds that.

--- a/packages/zinniahook-cli/src/zinniahook_cli/changes.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/changes.py
@@ -93,7 +93,17 @@
 
 
 def unknown(word: Word, what: str, names: Iterable[str]) -> CommandError:
-    """Return the error for a name that isn't there, with the nearest one."""
+    """Return the error for a name that isn't there, with the nearest one.
+
+    Parameters
+    ----------
+    word : Word
+        The name, as it was typed.
+    what : str
+        What it should have named, as in "service".
+    names : iterable of str
+        What is there.
+    """
     near = difflib.get_close_matches(word.text, list(names), 1)
     hint = f"; did you mean {near[0]!r}?" if near else ""
     reason = f"no {what} {word.text!r}{hint}"
@@ -190,8 +200,11 @@
         return [(owner, _field(CLASS_FIELDS_BY_NAME, name, path))]
     if len(parts) == 2 and name in SERVICE_FIELDS_BY_NAME:
         return [(service, SERVICE_FIELDS_BY_NAME[name])]
-    if len(parts) == 2 and classes and name != "prefix":
-        field = _field(CLASS_FIELDS_BY_NAME, name, path)
+    if len(parts) == 2 and name in CLASS_FIELDS_BY_NAME and name != "prefix":
+        if not classes:
+            reason = f"{name} is a setting of classes, and {parts[0]} has none"
+            raise CommandError(reason, Code.COMMAND_UNKNOWN_NAME, path)
+        field = CLASS_FIELDS_BY_NAME[name]
         return [(item, field) for item in classes.values()]
     raise unknown(path, "setting", _paths(table))
 
--- a/packages/zinniahook-cli/src/zinniahook_cli/daemons.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/daemons.py
@@ -161,9 +161,16 @@
 
 
 def progress(generation: int, survey: Survey, unlisted: Iterable[str] = ()) -> Progress:
-    """Sort the daemons by whether they have ``generation`` in force.
+    """Sort the daemons by whether they have a generation in force.
 
-    ``unlisted`` are daemons that can't be asked; they count as lagging.
+    Parameters
+    ----------
+    generation : int
+        The generation asked for; a later one counts as in force too.
+    survey : Survey
+        What the daemons answered.
+    unlisted : iterable of str
+        Names of daemons that can't be asked; they count as lagging.
     """
     in_force, lagging = [], []
     for reply in survey.answers_by_control.values():
--- a/packages/zinniahook-cli/src/zinniahook_cli/fleets.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/fleets.py
@@ -74,7 +74,18 @@
 async def read_fleet(
     store: Store, daemons: Daemons, *, counters: bool = False, ask: bool = True
 ) -> Fleet:
-    """Read who there should be, and ask each of them unless ``ask`` is false.
+    """Read which daemons there should be, and ask each of them.
+
+    Parameters
+    ----------
+    store : Store
+        Holds the rosters and the announcements.
+    daemons : Daemons
+        Asks them.
+    counters : bool
+        Whether they answer with their counters too.
+    ask : bool
+        Whether to ask them at all.
 
     Raises
     ------
--- a/packages/zinniahook-cli/src/zinniahook_cli/main.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/main.py
@@ -17,7 +17,7 @@
 from .settings import ClientSettings, SettingsError, load
 from .statements import Abort, Begin, Commit, Statement
 
-__all__ = ["main", "zinniahook"]
+__all__ = ["evaluate", "main", "zinniahook"]
 
 
 def main(argv: list[str] | None = None) -> None:
--- a/packages/zinniahook-cli/src/zinniahook_cli/reports.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/reports.py
@@ -95,6 +95,15 @@
 def draw(file: Path, values_by_key: dict, samples: list[Sample]) -> None:
     """Draw both charts.
 
+    Parameters
+    ----------
+    file : Path
+        Where to; its ending chooses the format.
+    values_by_key : dict
+        Histograms by service and kind.
+    samples : list of Sample
+        The imbalance of each service over time.
+
     Raises
     ------
     OSError
--- a/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/rollouts.py
@@ -98,7 +98,28 @@
     *,
     take_over: bool = False,
 ) -> Outcome | Paused:
-    """Commit everywhere at once, or in stages if a risky setting changes."""
+    """Commit everywhere at once, or in stages if a risky setting changes.
+
+    Parameters
+    ----------
+    session : Session
+        Whose store, daemons and patience are used.
+    base : Stored
+        The generation that the change was made from.
+    document : Document
+        What to put in force.
+    author : str
+        Name of the operator.
+    operation : str
+        Identifies the commit, so that a lost answer can be settled.
+    take_over : bool
+        Whether to end a rollout in stages that is under way, and have none.
+
+    Returns
+    -------
+    Outcome or Paused
+        Paused if the rollout stopped at a stage.
+    """
     plan = [] if take_over else await _plan(session, base, document)
     if not plan:
         return await configurations.commit(
@@ -147,7 +168,17 @@
 def stages(
     order: Iterable[str], instances: list[str], data_centres: list[str], previous: int
 ) -> list[Stage]:
-    """Return the stages before the last one, which is everywhere."""
+    """Return the stages before the last one, which is everywhere.
+
+    Parameters
+    ----------
+    order : iterable of str
+        Kinds of stages: "instance" or "data-centre"; others are left out.
+    instances, data_centres : list of str
+        Names to choose from; the first goes first.
+    previous : int
+        The generation that stays in force elsewhere.
+    """
     found = []
     stage = Stage(previous)
     for name in order:
--- a/packages/zinniahook-cli/src/zinniahook_cli/rotations.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/rotations.py
@@ -19,7 +19,15 @@
 if TYPE_CHECKING:
     from .sessions import Session
 
-__all__ = ["KEYS_KEPT", "OLD_KEY_AGE", "rotate", "with_new_keys", "without_old_keys"]
+__all__ = [
+    "KEYS_KEPT",
+    "OLD_KEY_AGE",
+    "outcome_is_final",
+    "rotate",
+    "with_new_keys",
+    "with_waiting_keys",
+    "without_old_keys",
+]
 
 KEYS_KEPT = 4
 """Keys of a kind that stay accepted, the one in use among them."""
--- a/packages/zinniahook-cli/src/zinniahook_cli/sessions.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/sessions.py
@@ -22,7 +22,7 @@
 from .settings import ClientSettings
 from .tables import Table
 
-__all__ = ["Session"]
+__all__ = ["Draft", "Session"]
 
 Say = Callable[[str], None]
 Runner = Callable[["Session", Any], Awaitable[Answer]]
--- a/packages/zinniahook-cli/tests/test_changes.py
+++ b/packages/zinniahook-cli/tests/test_changes.py
@@ -84,6 +84,17 @@
         )
         assert swapped.services_by_name["ledger"].address.port == 4433
 
+    def test_a_setting_of_classes_needs_a_class(self, document):
+        """Symptom: no setting 'bare.queue'; did you mean 'bare.queue'?
+
+        Sequence: a service is created, a setting of its classes is set.
+        Cause: it has no class, while the list of settings had it.
+        """
+        bare = change(document, parse("create service bare number=9 address=1.1.1.1:1"))
+        with pytest.raises(CommandError, match="of classes, and bare has none") as told:
+            change(bare, parse("set bare.queue = 64"))
+        assert told.value.code is Code.COMMAND_UNKNOWN_NAME
+
     @pytest.mark.parametrize(
         ("source", "word", "code"),
         [
--- a/packages/zinniahook-core/src/zinniahook_core/configuration.py
+++ b/packages/zinniahook-core/src/zinniahook_core/configuration.py
@@ -217,6 +217,15 @@
 def compile(document: Document, generation: int, keys: KeyRing) -> Configuration:
     """Join a valid document and its keys into what the daemons use.
 
+    Parameters
+    ----------
+    document : Document
+        A document without problems.
+    generation : int
+        Its number.
+    keys : KeyRing
+        The keys of flows and tunnels, with the two in use.
+
     Raises
     ------
     ConfigurationError
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/permissions.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/permissions.py
@@ -38,7 +38,17 @@
 
 
 def may_drain(operators: Operators, name: str, service: str) -> bool:
-    """Whether ``name`` may drain an agent of ``service``, or an entry ("")."""
+    """Tell whether an operator may drain an agent or an entry.
+
+    Parameters
+    ----------
+    operators : Operators
+        Those of the configuration in force; without any everybody may.
+    name : str
+        The operator's name, from the certificate.
+    service : str
+        The agent's service; empty for an entry.
+    """
     if not operators:
         return True
     operator = operators.get(name)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/relays.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/relays.py
@@ -296,7 +296,17 @@
     arrived: Callable[[Exchange], None],
     cancelled: Callable[[Exchange], None],
 ) -> None:
-    """Serve one call of a peer; a call that ends early is cancelled."""
+    """Serve one call of a peer.
+
+    Parameters
+    ----------
+    stream : grpclib.server.Stream
+        The call.
+    arrived : callable
+        Called with the exchange as soon as its head is here.
+    cancelled : callable
+        Called with the exchange if the call ends before it.
+    """
     frame = await stream.recv_message()
     if frame is None or frame.WhichOneof("frame") != "head":
         return
--- a/packages/zinniahook-store/src/zinniahook_store/configurations.py
+++ b/packages/zinniahook-store/src/zinniahook_store/configurations.py
@@ -179,7 +179,17 @@
 
 
 async def move_stage(store: Store, generation: int, stage: Stage | None) -> Outcome:
-    """Put a generation in force at the next stage, or everywhere if None."""
+    """Put a generation in force at the next stage of its rollout.
+
+    Parameters
+    ----------
+    store : Store
+        Holds the pointer.
+    generation : int
+        The generation being rolled out; refused if another is by now.
+    stage : Stage or None
+        Where it comes into force; None is everywhere.
+    """
     try:
         pointer, revision = await read_pointer(store)
     except ZinniahookError as error:
--- a/packages/zinniahook-store/src/zinniahook_store/gateway.py
+++ b/packages/zinniahook-store/src/zinniahook_store/gateway.py
@@ -174,7 +174,15 @@
 
 
 class Stream:
-    """The answer of one streaming call; aborting it closes the connection."""
+    """The answer of one streaming call; aborting it closes the connection.
+
+    Parameters
+    ----------
+    url : str
+        Where to call.
+    body : str
+        The request, as JSON.
+    """
 
     def __init__(self, url: str, body: str) -> None:
         self._client = _AbortableClient(force_instance=True, max_clients=1)
--- a/packages/zinniahook-wire/src/zinniahook_wire/compression.py
+++ b/packages/zinniahook-wire/src/zinniahook_wire/compression.py
@@ -18,7 +18,16 @@
 
 
 def decompress(data: bytes, what: str, limit: int = SIZE_LIMIT) -> bytes:
-    """Return what was compressed; ``what`` names it in the error.
+    """Return what was compressed.
+
+    Parameters
+    ----------
+    data : bytes
+        One zlib stream.
+    what : str
+        Names it in the error.
+    limit : int
+        Most bytes of the result.
 
     Raises
     ------
--- a/packages/zinniahook-wire/src/zinniahook_wire/values.py
+++ b/packages/zinniahook-wire/src/zinniahook_wire/values.py
@@ -66,7 +66,16 @@
     what: str,
     code: Code = Code.CONFIGURATION_INVALID,
 ) -> bytes:
-    """Encode a value; ``what`` names it in the error.
+    """Encode a value as JSON.
+
+    Parameters
+    ----------
+    value : mapping
+        What to encode.
+    what : str
+        Names it in the error.
+    code : Code
+        Code of the error.
 
     Raises
     ------
