--- a/packages/zinniahook-testkit/src/zinniahook_testkit/changes.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/changes.py
@@ -81,9 +81,12 @@
             4,
         )
         self.core = AgentCore(identity, SERVICE, random.Random(number))
+        self.alive = True
 
     def feed(self, event: events.AgentEvent) -> None:
         """Give the core an event and execute its effects."""
+        if not self.alive:
+            return
         for effect in self.core.handle(self.world.now, event):
             self._execute(effect)
 
@@ -93,6 +96,8 @@
             peer = world.agents_by_name[effect.peer]
             event = events.PeerDatagram(self.name, effect.message)
             world.later(LATENCY, lambda: peer.feed(event))
+        elif isinstance(effect, effects.AcceptFlow):
+            world.last_accepted_by_name[self.name] = world.now
         elif isinstance(effect, effects.Deliver):
             world.delivered(self, effect)
         elif isinstance(effect, effects.ForwardDatagram):
@@ -115,6 +120,7 @@
             self.name if effect.handed else "",
         )
         self.world.hops += 1
+        self.world.last_forwarded_by_name[peer.name] = self.world.now
         self.world.later(LATENCY, lambda: peer.feed(event))
 
 
@@ -131,6 +137,9 @@
         self.arrived: set[tuple[Address, bytes]] = set()
         self.broken: set[Address] = set()
         self.hops = 0
+        self.last_accepted_by_name: dict[str, float] = {}
+        self.last_forwarded_by_name: dict[str, float] = {}
+        self.last_routed_by_name: dict[str, float] = {}
         self._agents = agents
         self._numbers = itertools.count(1)
         self._order = itertools.count()
@@ -237,6 +246,7 @@
         target = next(
             one for one in self.agents_by_name.values() if one.address == agent
         )
+        self.last_routed_by_name[target.name] = self.now
         self.later(LATENCY, lambda: target.feed(event))
 
     def delivered(self, agent: Agent, effect: effects.Deliver) -> None:
@@ -263,6 +273,49 @@
     ]
 
 
+@scenario("lost-agent")
+def measure_lost_agent(
+    agents: int, entries: int, rate: float, seconds: float, seed: int = 1
+) -> list[Figure]:
+    """Measure until when a dead and a leaving agent still get new flows.
+
+    New flows come at ``rate`` a second, each of one packet that is sent once.
+    """
+    world = World(agents, entries, seed)
+    world.run_until(SETTLE)
+    dead, leaving = list(world.agents_by_name.values())[:2]
+    numbers = itertools.count()
+
+    def opening() -> None:
+        number = next(numbers)
+        caller = Address(f"10.8.{number >> 8 & 255}.{number >> 16}", number & 255)
+        world.send(caller, number.to_bytes(4, "big"))
+
+    def openings(length: float) -> None:
+        for _ in range(round(rate * length)):
+            world.at(world.now + world.rng.uniform(0.0, length), opening)
+        world.run_until(world.now + length)
+
+    openings(seconds)
+    leaving.feed(events.DrainRequested(DRAIN))
+    drained_at = world.now
+    openings(seconds)
+    accepted = world.last_accepted_by_name[leaving.name] - drained_at
+    dead.alive = False
+    died_at = world.now
+    openings(seconds)
+    routed = world.last_routed_by_name[dead.name] - died_at
+    total = next(numbers)
+    forwarded = world.last_forwarded_by_name.get(dead.name, died_at) - died_at
+    return [
+        Figure("last new flow at a leaving agent", max(0.0, accepted), "s"),
+        Figure("last handed to a dead agent by peers", max(0.0, forwarded), "s"),
+        Figure("last routed to a dead agent by entries", routed, "s"),
+        Figure("openings", total, "count"),
+        Figure("openings lost", total - len(world.arrived), "count"),
+    ]
+
+
 def measure(
     flows: int = 10_000,
     changes: int = 52,
