Tell in one line that an answer can't be printed

With standard output on a full disk, each statement ended in a traceback, though its change may have been committed. It is now one line with code 202 and status 3, the outcome to be looked up. A report of an even load printed a warning of matplotlib with a line of source, as its axis had no height; it has room above 1.

--- a/packages/zinniahook-cli/src/zinniahook_cli/main.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -187,7 +188,17 @@
 
 
 def _print(answer: Answer, json: bool) -> None:
-    print(answer.as_json() if json else answer.as_text(), flush=True)
+    text = answer.as_json() if json else answer.as_text()
+    try:
+        print(text, flush=True)
+    except OSError as error:
+        # A full disk, or a reader such as head that has gone. What is left in
+        # the buffer would fail again as the process ends, with a traceback
+        # and a status of Python's own.
+        with open(os.devnull, "w") as nowhere:
+            os.dup2(nowhere.fileno(), sys.stdout.fileno())
+        reason = f"can't print the answer: {error.strerror or error}"
+        raise ZinniahookError(reason, Code.UNKNOWN) from None
 
 
 def _complain(error: ZinniahookError, source: str, json: bool) -> None:
--- a/packages/zinniahook-cli/src/zinniahook_cli/reports.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/reports.py
@@ -144,7 +144,8 @@
         ]
         axes.plot(*zip(*points, strict=True), label=service)
     axes.set(title="Imbalance of busy slots", xlabel="seconds", ylabel="most over mean")
-    axes.set_ylim(bottom=1.0)
+    # Without room above 1 an even load, all of it at 1, would have no axis.
+    axes.set_ylim(bottom=1.0, top=max(1.1, axes.get_ylim()[1]))
     _legend(axes)
 
 
--- a/packages/zinniahook-cli/tests/test_main.py
+++ b/packages/zinniahook-cli/tests/test_main.py
@@ -1,6 +1,9 @@
 """The command line: settings, files, JSON and exit statuses."""
 
 import json
+import pathlib
+import subprocess
+import sys
 
 import pytest
 from zinniahook_cli.answers import Status
@@ -57,6 +60,31 @@
         assert status == Status.UNREACHABLE
 
 
+class TestOutput:
+    @pytest.mark.skipif(
+        not pathlib.Path("/dev/full").exists(), reason="no full device here"
+    )
+    def test_an_answer_that_cannot_be_printed(self, settings, first):
+        """The answers go to a file on a disk that is full.
+
+        Symptom: a traceback, and the status of a wrong use, 1 or 120.
+        Sequence: a change is committed, its answer can't be written.
+        Cause: the error of the system; the operator must look what holds.
+        """
+        with open("/dev/full", "w") as full:
+            command = (sys.executable, "-m", "zinniahook_cli.main", "--settings")
+            done = subprocess.run(
+                [*command, str(settings), first],
+                stdout=full,
+                stderr=subprocess.PIPE,
+                text=True,
+                timeout=60,
+            )
+        assert done.returncode == Status.UNKNOWN
+        (line,) = done.stderr.splitlines()
+        assert "can't print the answer" in line
+
+
 class TestRun:
     def test_words_make_one_statement(self, settings, first, capsys):
         assert zinniahook(*first.split(), settings=settings) == Status.OK
