--- /dev/null
+++ b/tests/operator_runs.py
@@ -0,0 +1,146 @@
+"""A small deployment, its load and an operator, for tests with daemons."""
+
+import asyncio
+import collections
+
+from zinniahook_cli import grammar
+from zinniahook_cli.sessions import Session
+from zinniahook_cli.settings import ClientSettings
+from zinniahook_core.codes import Code
+from zinniahook_core.models import Address
+from zinniahook_store import Store
+from zinniahook_testkit.checks import Evidence, check
+from zinniahook_testkit.clusters import Cluster
+from zinniahook_testkit.deployments import TALLY, Deployment, ServicePlan
+
+BOUND = 120.0
+"""Seconds that a test may take; nothing in it waits for a fixed time."""
+
+FEEDS = {"kind": "feeds", "path": "/tally/feed", "callers": 6, "every": 0.2}
+TICKETS = {"kind": "tickets", "path": "/tickets", "callers": 4, "rate": 10.0}
+PLAN = TALLY._replace(targets=3, loads=(FEEDS, TICKETS))
+DEPLOYMENT = Deployment("small", ("east", "west"), 2, 0.0, (PLAN,))
+
+# Here a feed holds a slot like any other request, so peers share them.
+WITHOUT_CLASSES = DEPLOYMENT._replace(services=(PLAN._replace(classes=()),))
+
+PULSE = ServicePlan(name="pulse", number=2, targets=2, slots=4, protocol="udp")
+UDP = DEPLOYMENT._replace(services=(PULSE,))
+
+
+class Operator:
+    """An operator's session at a cluster."""
+
+    def __init__(self, cluster, name="amina", patience=30.0):
+        self.cluster = cluster
+        self.said = []
+        store = cluster.store_process.ready["address"]
+        files = cluster.authority.issue(name)
+        self.settings = ClientSettings((Address.parse(store),), *files, 2.0, patience)
+        self.session = Session(
+            self.settings, Store([store]), self.said.append, wait=True
+        )
+
+    async def run(self, text):
+        answer = None
+        for statement in grammar.parse(text):
+            answer = await self.session.run(statement)
+        return answer
+
+
+def runner(tmp_path):
+    """Run a scenario that takes a cluster and an operator."""
+
+    def start(scenario, deployment=DEPLOYMENT, kind=Cluster):
+        async def whole():
+            async with (
+                asyncio.timeout(BOUND),
+                kind(deployment, tmp_path) as cluster,
+            ):
+                await scenario(cluster, Operator(cluster))
+
+        asyncio.run(whole())
+
+    return start
+
+
+async def load(cluster):
+    """Start the load and wait until all of it has begun."""
+    running = await cluster.run_loads(["tally"])
+    (plan,) = cluster.deployment.services
+    feeds = FEEDS["callers"] if FEEDS in plan.loads else 0
+
+    async def begun():
+        replies = await cluster.statuses()
+        streams = sum(reply.streams for reply in replies)
+        requests = sum(reply.counters_by_name["agent.requests"] for reply in replies)
+        return streams >= feeds and requests > feeds
+
+    await cluster.until(begun, "the load has begun")
+    return running
+
+
+async def violations(cluster, running, reopened=0):
+    """End the load; return every breach that targets and callers recorded.
+
+    Nothing may have been cut, and feeds opened anew at least so often.
+    """
+    results = await running.finish()
+    assert all(result["records"] for result in results)
+    counts = collections.Counter()
+    for result in results:
+        counts.update(result["counts"])
+    assert counts["cut_attempts"] == 0
+    assert counts["feeds_reopened"] >= reopened
+    return check(Evidence(tuple(await cluster.ledgers()), tuple(results)))
+
+
+class TreeCluster(Cluster):
+    """A cluster in which agents learn from entries, as by default."""
+
+    watchers = 2
+
+
+async def newcomers(address):
+    """Open a plain UDP flow after the other."""
+    loop = asyncio.get_running_loop()
+    while True:
+        transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=address
+        )
+        transport.sendto(b"ping")
+        transport.close()
+        await asyncio.sleep(0.02)
+
+
+async def follow(feed):
+    """Read a feed, whose events must come once and in order."""
+    last = None
+    async for event in feed:
+        number = int(event.id)
+        assert last is None or number == last + 1
+        last = number
+
+
+async def busiest(cluster):
+    """Name the agent with the most open streams."""
+    replies = await cluster.statuses()
+    return max(replies, key=lambda reply: reply.streams).name
+
+
+async def supervise(cluster):
+    """Start again what ends, as the platform does."""
+    while True:
+        for name, process in list(cluster.agents_by_name.items()):
+            if not process.running:
+                await cluster.start_agent(name)
+        for name, process in list(cluster.entries_by_name.items()):
+            if not process.running:
+                await cluster.start_entry(name)
+        await asyncio.sleep(0.05)
+
+
+def unreadable(replies):
+    """Add up the datagrams dropped for want of a key."""
+    codes = (Code.CONNECTION_ID_UNKNOWN, Code.TUNNEL_KEY_UNKNOWN)
+    return sum(reply.drops_by_code.get(code, 0) for reply in replies for code in codes)
--- /dev/null
+++ b/tests/test_drains.py
@@ -0,0 +1,210 @@
+"""Drains and restarts by operators, under feeds and tickets."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+import zinniahook_caller
+from operator_runs import (
+    FEEDS,
+    WITHOUT_CLASSES,
+    Operator,
+    busiest,
+    follow,
+    load,
+    runner,
+    supervise,
+    violations,
+)
+from zinniahook_cli.answers import Status
+from zinniahook_core.codes import Code, ZinniahookError
+
+
+@pytest.fixture
+def run(tmp_path):
+    return runner(tmp_path)
+
+
+class TestDrain:
+    def test_feeds_and_tickets_go_on_through_a_drain(self, run):
+        """
+        Symptom: tallies break off and tickets fail when a target is stopped.
+        Sequence: feeds are open and tickets filed while the target with the
+        most feeds drains, to its end.
+        Cause: the agent waited only so long for feeds, which last for hours,
+        and then closed their connections.
+        """
+
+        async def scenario(cluster, amina):
+            running = await load(cluster)
+            name = await busiest(cluster)
+            answer = await amina.run(f"drain target {name}")
+            assert answer.status is Status.OK, answer.text
+            assert answer.facts["safe"] == [name]
+            cluster.agents_by_name.pop(name)
+            replies = await cluster.statuses()
+            assert sum(reply.streams for reply in replies) == FEEDS["callers"]
+            assert await violations(cluster, running, reopened=1) == []
+
+        run(scenario)
+
+    def test_a_drain_waits_for_a_caller_that_stays(self, run):
+        """
+        Symptom: a feed is cut when its target is stopped.
+        Sequence: a caller that opens nothing anew has a feed; its target
+        drains for longer than the operator waits.
+        Cause: the agent ended before what it ran was finished.
+        """
+
+        async def scenario(cluster, amina):
+            hasty = Operator(cluster, patience=1.0)
+            address = cluster.addresses_by_service["tally"]
+            ca = str(cluster.authority.file)
+            async with (
+                zinniahook_caller.Session(address, ca=ca) as caller,
+                caller.stream("GET", "/tally/feed?every=0.05") as stream,
+            ):
+                lines = stream.iter_lines()
+                numbers = [json.loads(await anext(lines))["n"]]
+                name = await busiest(cluster)
+                answer = await hasty.run(f"drain target {name}")
+                assert answer.status is Status.UNFINISHED
+                assert answer.facts["draining"] == [name]
+                assert any("leaving" in line for line in hasty.said)
+                for _ in range(40):
+                    numbers.append(json.loads(await anext(lines))["n"])
+                assert numbers == list(range(1, 42))
+                assert caller.cuts == 0
+            # Now the feed ends, as its caller wants it to.
+            answer = await amina.run(f"drain target {name}")
+            assert answer.status is Status.OK
+            assert answer.facts["safe"] == [name]
+
+        run(scenario)
+
+    def test_feeds_that_a_peer_runs_go_on_too(self, run):
+        """
+        Symptom: a drain doesn't end though every caller follows GOAWAY.
+        Sequence: one caller's feeds arrive at one agent, which passes some on
+        to its peers; a peer drains.
+        Cause: the peer asked only the callers of its own connections to go.
+        """
+
+        async def scenario(cluster, amina):
+            address = cluster.addresses_by_service["tally"]
+            ca, spread = str(cluster.authority.file), zinniahook_caller.Spread(1.0)
+            async with contextlib.AsyncExitStack() as stack:
+                caller = zinniahook_caller.Session(address, ca=ca, spread=spread)
+                await stack.enter_async_context(caller)
+                feeds = []
+                for _ in range(8):
+                    opening = caller.events("/tally/feed?every=0.1")
+                    feeds.append(await stack.enter_async_context(opening))
+                readings = [asyncio.create_task(follow(feed)) for feed in feeds]
+                replies = await cluster.statuses()
+                # The caller has one connection: here are only passed feeds.
+                peer = max(
+                    (one for one in replies if not one.flows),
+                    key=lambda one: one.busy,
+                )
+                assert peer.busy
+                answer = await amina.run(f"drain target {peer.name}")
+                assert answer.status is Status.OK, answer.text
+                assert answer.facts["safe"] == [peer.name]
+                assert sum(feed.reopened for feed in feeds) >= peer.busy
+                assert not any(feed.cuts for feed in feeds)
+                for reading in readings:
+                    reading.cancel()
+                ends = await asyncio.gather(*readings, return_exceptions=True)
+                assert {type(end) for end in ends} == {asyncio.CancelledError}
+
+        run(scenario, WITHOUT_CLASSES)
+
+    def test_an_operator_ends_a_drain_sooner(self, run):
+        """
+        Symptom: a target can't be replaced for a day.
+        Sequence: a caller keeps its feed open; the drain setting is lowered
+        and the drain asked for again.
+        Cause: the end of a drain was fixed when it began.
+        """
+
+        async def scenario(cluster, amina):
+            hasty = Operator(cluster, patience=1.0)
+            address = cluster.addresses_by_service["tally"]
+            ca = str(cluster.authority.file)
+            async with (
+                zinniahook_caller.Session(address, ca=ca) as caller,
+                caller.stream("GET", "/tally/feed?every=0.05") as stream,
+            ):
+                await anext(stream.iter_lines())
+                name = await busiest(cluster)
+                answer = await hasty.run(f"drain target {name}")
+                assert answer.status is Status.UNFINISHED
+                await amina.run("set tally.drain = 0.5")
+                answer = await amina.run(f"drain target {name}")
+                assert answer.status is Status.OK
+                assert answer.facts["safe"] == [name]
+
+        run(scenario)
+
+    def test_an_operator_stops_only_what_serves_her_services(self, run):
+        async def scenario(cluster, amina):
+            await amina.run(
+                "begin; create operator moussa services = ledger;"
+                "create operator amina services = '*'; commit"
+            )
+            moussa = Operator(cluster, "moussa")
+            for text in ("drain target tally-1", "drain entry entry-1"):
+                with pytest.raises(ZinniahookError) as caught:
+                    await moussa.run(text)
+                assert caught.value.code is Code.NOT_PERMITTED
+            replies = await cluster.statuses()
+            assert {one.state for one in replies} == {"ready", "serving"}
+
+        run(scenario)
+
+    def test_the_last_target_stays_unless_forced(self, run):
+        async def scenario(cluster, amina):
+            await amina.run("drain target tally-1; drain target tally-2")
+            answer = await amina.run("drain target tally-3")
+            assert answer.status is Status.REFUSED
+            assert answer.facts["code"] == Code.WOULD_EMPTY_SERVICE
+            answer = await amina.run("drain data centre west")
+            assert answer.status is Status.REFUSED
+            answer = await amina.run("drain target tally-3 force")
+            assert answer.status is Status.OK
+
+        run(scenario)
+
+
+class TestRestart:
+    def test_everything_is_restarted_under_feeds_and_tickets(self, run):
+        """
+        Symptom: tickets are lost and feeds break off, or their events come
+        twice, during an upgrade of the whole system.
+        Sequence: each daemon drains, ends, is started again by its platform.
+        Cause: the next one was drained before the last one was back, or an
+        agent closed the connections of feeds when it ended.
+        """
+
+        async def scenario(cluster, amina):
+            running = await load(cluster)
+            before = {one.name: one.incarnation for one in await cluster.statuses()}
+            keeper = asyncio.create_task(supervise(cluster))
+            try:
+                answer = await amina.run("restart rolling")
+            finally:
+                keeper.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await keeper
+            assert answer.status is Status.OK, answer.text
+            assert answer.facts["restarted"] == 5
+            after = {one.name: one for one in await cluster.statuses()}
+            for name in cluster.agents_by_name:
+                assert after[name].incarnation > before[name]
+            # Every agent was left, so every feed had to move.
+            reopened = FEEDS["callers"]
+            assert await violations(cluster, running, reopened) == []
+
+        run(scenario)
