Take an IPv6 address of a statsd

A daemon whose settings name a statsd by an IPv6 address, which the check of the settings allows, ended at its start with code 0: the client of statsd looks up IPv4 only unless told.

--- a/packages/zinniahook-daemon/src/zinniahook_daemon/metrics.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/metrics.py
@@ -74,7 +74,8 @@
             from statsd import StatsClient
 
             prefix = f"{settings.prefix}.{name}" if settings.prefix else name
-            self._client = StatsClient(*settings.statsd, prefix=prefix)
+            ipv6 = ":" in settings.statsd.host
+            self._client = StatsClient(*settings.statsd, prefix=prefix, ipv6=ipv6)
 
     def count(self, name: str, amount: int = 1, **tags: object) -> None:
         """Add to a counter; the values of tags become parts of its name."""
--- a/packages/zinniahook-daemon/tests/test_metrics.py
+++ b/packages/zinniahook-daemon/tests/test_metrics.py
@@ -39,6 +39,21 @@
         assert lines_of(statsd) == ["zinniahook.entry-1.entry.dropped.NO_AGENT:1|c"]
         assert metrics.counters_by_name == {"entry.dropped.NO_AGENT": 4}
 
+    def test_a_server_may_have_an_ipv6_address(self):
+        """Symptom: the daemon ended at its start, with code 0.
+
+        Sequence: the settings name a statsd by an IPv6 address. Cause: the
+        client of statsd takes every address for one of IPv4 unless told.
+        """
+        with socket.socket(socket.AF_INET6, socket.SOCK_DGRAM) as server:
+            server.bind(("::1", 0))
+            server.settimeout(20)
+            address = Address(*server.getsockname()[:2])
+            metrics = Metrics(MetricsSettings(address), "entry-1")
+            metrics.count("entry.to_agents")
+            metrics.flush()
+            assert lines_of(server) == ["zinniahook.entry-1.entry.to_agents:1|c"]
+
     def test_without_a_server_counters_are_kept(self):
         metrics = Metrics(MetricsSettings(), "entry-1")
         metrics.count("entry.to_agents")
