Tell a file that can't be looked for in one line

A certificate whose path is too long, or stands in a directory that the user may not enter, ended the daemon and the client in a traceback: Path.is_file raises for these. Each is now code 504 with the reason of the system.

A directory without permission was not tried, as the tests may run as root.

--- a/packages/zinniahook-cli/src/zinniahook_cli/settings.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/settings.py
@@ -91,7 +91,13 @@
     path = Path(value)
     if isinstance(value, str) and settings is not None:
         path = settings.parent / path
-    if not path.is_file():
+    try:
+        found = path.is_file()
+    except OSError as error:
+        # A directory that this user may not enter, or a name too long.
+        reason = f"{name}: {error.strerror}: {path}"
+        raise SettingsError(reason, Code.SETTINGS_FILE_MISSING) from None
+    if not found:
         reason = f"{name}: there is no file {path}"
         raise SettingsError(reason, Code.SETTINGS_FILE_MISSING)
     return path
--- a/packages/zinniahook-cli/tests/test_main.py
+++ b/packages/zinniahook-cli/tests/test_main.py
@@ -31,6 +31,7 @@
             ("store = [3]", 502),
             ('store = ["nowhere"]', 503),
             ('store = "127.0.0.1:1"\nkey = "missing.key"', 504),
+            (f'store = "127.0.0.1:1"\nkey = "{"x" * 300}"', 504),
             ('store = "127.0.0.1:1"\ntimeout = -1', 502),
             ("store =", 500),
             (f"store = {'[' * 5000}", 500),
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/settings.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/settings.py
@@ -289,6 +289,12 @@
     if not isinstance(value, str):
         raise place.error(Code.SETTINGS_TYPE, "should be the path of a file")
     path = place.file.parent / value
-    if not path.is_file():
+    try:
+        found = path.is_file()
+    except OSError as error:
+        # A directory that this user may not enter, or a name too long.
+        reason = f"{error.strerror}: {path}"
+        raise place.error(Code.SETTINGS_FILE_MISSING, reason) from None
+    if not found:
         raise place.error(Code.SETTINGS_FILE_MISSING, f"no such file: {path}")
     return path
--- a/packages/zinniahook-daemon/tests/test_settings.py
+++ b/packages/zinniahook-daemon/tests/test_settings.py
@@ -92,6 +92,12 @@
                 Code.SETTINGS_ADDRESS,
             ),
             ('"ca.pem"', '"x.pem"', "control.authority", Code.SETTINGS_FILE_MISSING),
+            (
+                '"ca.pem"',
+                f'"{"x" * 300}"',
+                "control.authority",
+                Code.SETTINGS_FILE_MISSING,
+            ),
             ('"entry-1"', '"entry-1', "", Code.SETTINGS_UNREADABLE),
             ('"entry-1"', "[" * 5000, "", Code.SETTINGS_UNREADABLE),
             (
