--- a/packages/zinniahook-testkit/src/zinniahook_testkit/capacity.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/capacity.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterator
 from pathlib import Path
 from typing import NamedTuple
@@ -31,6 +32,8 @@
 """Leaving, removed, announced, ready."""
 
 TICKS = 10
+FAN_OUT = 8
+LEAVES = math.ceil(ENDPOINTS / ENTRIES)
 PEERS = round(ENDPOINTS / SERVICES)
 ROSTER_CHANGES_A_DAY = (
     FAILURES_A_DAY * WRITES_A_FAILURE + RESTARTS_A_DAY * WRITES_A_RESTART
@@ -101,6 +104,26 @@
         f"{base:,.0f} + {SERVICES} x {service:.0f} + {ENDPOINTS} x {one:.0f}",
         "entry-memory",
     )
+    small = figure("entry-packets", "private memory of an entry")
+    large = figure("distribution", "private memory of an entry")
+    yield Row(
+        "entry",
+        "private memory that the size adds to the process",
+        large - small,
+        "B",
+        MEMORY_BOUND,
+        f"{large / 1e6:.1f} MB at full size, {small / 1e6:.1f} MB with one service",
+        "distribution",
+    )
+    yield Row(
+        "entry",
+        "private memory of the whole process",
+        large,
+        "B",
+        MEMORY_BOUND,
+        "the interpreter and imports with it",
+        "distribution",
+    )
     yield Row(
         "entry",
         "memory a flow",
@@ -203,7 +226,42 @@
 
 
 def _relay(results: Results) -> Iterator[Row]:
-    return iter(())
+    figure = results.figure
+    whole = figure("distribution", "change, all services")
+    roster = figure("distribution", "change of a roster")
+    digests = figure("distribution", "digests a second, all services")
+    received = (CHANGES_A_DAY * whole + ROSTER_CHANGES_A_DAY * roster) / DAY + digests
+    yield Row(
+        "relay",
+        "bytes received",
+        received,
+        "B/s",
+        RATE_BOUND,
+        f"{CHANGES_A_DAY} a day x {whole:.0f} + {ROSTER_CHANGES_A_DAY} a day x"
+        f" {roster:.0f} + {digests:.0f}/s",
+        "distribution",
+    )
+    leaf = figure("distribution", "subscriber of one service")
+    yield Row(
+        "relay",
+        "bytes sent",
+        FAN_OUT * received + LEAVES * leaf,
+        "B/s",
+        RATE_BOUND,
+        f"{FAN_OUT} subscribers of all services, {LEAVES} agents x {leaf:.0f}",
+        "distribution",
+    )
+    child = figure("distribution", "child's processor time a change") / 1e3
+    parent = figure("distribution", "parent's processor time a change") / 1e3
+    yield Row(
+        "relay",
+        "processor of changes",
+        CHANGES_A_DAY * max(child, parent) / DAY,
+        "s/s",
+        PROCESSOR_BOUND,
+        f"{CHANGES_A_DAY} a day x {max(child, parent) * 1e3:.1f} ms",
+        "distribution",
+    )
 
 
 def _store(results: Results) -> Iterator[Row]:
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/distributions.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/distributions.py
@@ -297,6 +297,7 @@
     with ExitStack() as stack:
         bench = Bench(stack, services, members, seed)
         costs = asyncio.run(_measure(bench, changes, random.Random(seed)))
+        private, resident = bench.child.private(), bench.child.resident()
     a_second = _rates(costs, changes_a_day / DAY)
     relay = a_second.all_services * fan_out + a_second.one_service * leaves
     return [
@@ -311,6 +312,8 @@
         Figure("daemon with its subscribers", relay, "B/s"),
         Figure("parent's processor time a change", costs.change.parent * 1e3, "ms"),
         Figure("child's processor time a change", costs.change.child * 1e3, "ms"),
+        Figure("private memory of an entry", private, "B"),
+        Figure("resident memory of an entry", resident, "B"),
     ]
 
 
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/packets.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packets.py
@@ -141,7 +141,7 @@
                 Figure(f"µs per packet, {count} flows", cost.seconds * 1e6, "µs")
             )
         back = _answer_cost(bench, packets, size)
-        resident = bench.entry.resident()
+        private, resident = bench.entry.private(), bench.entry.resident()
         # The relay once more at the end: the mean of both takes out a drift.
         again = _bare_cost(stack, packets, size)
     relay = (bare.seconds + again.seconds) / 2
@@ -153,7 +153,8 @@
         Figure("answer rate to bare relay", relay / back.seconds, "ratio"),
         Figure("cost, most to fewest flows", costs[-1].seconds / costs[0].seconds, "x"),
         Figure("share through", min(cost.through for cost in costs), "share"),
-        Figure("entry resident", resident / 2**20, "MiB"),
+        Figure("private memory of an entry", private, "B"),
+        Figure("resident memory of an entry", resident, "B"),
     ]
 
 
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/processes.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/processes.py
@@ -120,6 +120,15 @@
         with open(f"/proc/{self.pid}/statm") as statm:
             return int(statm.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
+    def private(self) -> int:
+        """Return the resident memory that no other process shares, in bytes."""
+        kilobytes = 0
+        with open(f"/proc/{self.pid}/smaps_rollup") as rollup:
+            for line in rollup:
+                if line.startswith("Private_"):
+                    kilobytes += int(line.split()[1])
+        return kilobytes * 1024
+
     def processor_time(self) -> float:
         """Return the processor time used so far, in seconds."""
         with open(f"/proc/{self.pid}/stat") as stat:
