Test an entry that is cut off from the store and returns

Cause: a partition was tested only by a paused process; the caller's tests made certificates of their own. Change: an entry reaches the store through the fault proxy, falls silent for two changes and returns; the caller's tests use the testkit's authority.

--- a/packages/zinniahook-caller/tests/conftest.py
+++ b/packages/zinniahook-caller/tests/conftest.py
@@ -1,9 +1,6 @@
 """A plain aioquic server that answers as each test scripts it."""
 
 import asyncio
-import datetime
-import ipaddress
-from pathlib import Path
 from typing import NamedTuple
 
 import pytest
@@ -12,17 +9,7 @@
 from aioquic.h3.connection import H3_ALPN, ErrorCode, FrameType, H3Connection
 from aioquic.h3.events import DataReceived, HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
-from cryptography.x509.oid import NameOID
-
-
-class Certificate(NamedTuple):
-    """PEM files of a self-signed certificate and its key."""
-
-    chain: Path
-    key: Path
+from zinniahook_testkit.certificates import Authority
 
 
 class Received(NamedTuple):
@@ -100,33 +87,8 @@
 
 @pytest.fixture(scope="session")
 def certificate(tmp_path_factory):
-    """Make a certificate for 127.0.0.1."""
-    key = ec.generate_private_key(ec.SECP256R1())
-    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "test")])
-    now = datetime.datetime.now(datetime.UTC)
-    host = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
-    built = (
-        x509.CertificateBuilder()
-        .subject_name(name)
-        .issuer_name(name)
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(now - datetime.timedelta(days=1))
-        .not_valid_after(now + datetime.timedelta(days=1))
-        .add_extension(x509.SubjectAlternativeName([host]), critical=False)
-        .sign(key, hashes.SHA256())
-    )
-    folder = tmp_path_factory.mktemp("certificates")
-    files = Certificate(folder / "test.pem", folder / "test.key")
-    files.chain.write_bytes(built.public_bytes(serialization.Encoding.PEM))
-    files.key.write_bytes(
-        key.private_bytes(
-            serialization.Encoding.PEM,
-            serialization.PrivateFormat.PKCS8,
-            serialization.NoEncryption(),
-        )
-    )
-    return files
+    """Issue a certificate for 127.0.0.1."""
+    return Authority(tmp_path_factory.mktemp("certificates")).issue("test")
 
 
 @pytest.fixture
@@ -137,7 +99,7 @@
         async def main():
             served, connections = [], []
             configuration = QuicConfiguration(is_client=False, alpn_protocols=H3_ALPN)
-            configuration.load_cert_chain(certificate.chain, certificate.key)
+            configuration.load_cert_chain(certificate.certificate, certificate.key)
 
             def make(*args, **kwargs):
                 connections.append(Server(script, served, *args, **kwargs))
--- a/tests/operator_runs.py
+++ b/tests/operator_runs.py
@@ -9,6 +9,7 @@
 from zinniahook_core.codes import Code
 from zinniahook_core.models import Address
 from zinniahook_store import Store
+from zinniahook_testkit import faults
 from zinniahook_testkit.checks import Evidence, check
 from zinniahook_testkit.clusters import Cluster
 from zinniahook_testkit.deployments import TALLY, Deployment, ServicePlan
@@ -95,6 +96,24 @@
     return check(Evidence(tuple(await cluster.ledgers()), tuple(results)))
 
 
+class PartedCluster(Cluster):
+    """A cluster whose entry-2 reaches the store by way of a fault proxy."""
+
+    proxy = None
+
+    def _settings(self, name, role):
+        settings = super()._settings(name, role)
+        if name == "entry-2":
+            self.proxy = self.proxy or faults.start(*settings["store"]["addresses"])
+            settings["store"]["addresses"] = [self.proxy.address]
+        return settings
+
+    async def stop(self):
+        await super().stop()
+        if self.proxy is not None:
+            self.proxy.process.terminate()
+
+
 class TreeCluster(Cluster):
     """A cluster in which agents learn from entries, as by default."""
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,6 +6,7 @@
 from operator_runs import (
     UDP,
     Operator,
+    PartedCluster,
     TreeCluster,
     load,
     newcomers,
@@ -90,6 +91,31 @@
 
         run(scenario)
 
+    def test_a_daemon_cut_off_from_the_store_returns(self, run):
+        """
+        Symptom: after a partition an entry goes on with an old configuration,
+        or goes back to one. Sequence: its connections to the store fall
+        silent, two changes are committed, the way is open again. Cause: a
+        silent watch looks like a store in which nothing changes.
+        """
+
+        async def scenario(cluster, amina):
+            cluster.proxy.set_faults(hang=True)
+            cluster.proxy.silence()
+            hasty = Operator(cluster, patience=0.5)
+            for queue in (64, 65):
+                answer = await hasty.run(f"set tally.ticket.queue = {queue}")
+                assert answer.facts["outcome"] == "committed"
+                assert answer.facts["lagging"] == ["entry-2 (at 1)"]
+            running = await load(cluster)
+            cluster.proxy.set_faults(hang=False)
+            answer = await amina.run("watch rollout")
+            assert answer.status is Status.OK
+            assert "entry-2" in answer.facts["in_force"]
+            assert await violations(cluster, running) == []
+
+        run(scenario, kind=PartedCluster)
+
     def test_an_outage_during_the_rollout_delays_it_only(self, run):
         """
         Symptom: a change is in force on some daemons and never on the rest.
