--- a/packages/zinniahook-caller/tests/test_feeds.py
+++ b/packages/zinniahook-caller/tests/test_feeds.py
@@ -33,7 +33,7 @@
 def session(running, certificate, spread=AT_ONCE):
     return Session(
         running.address,
-        ca=str(certificate.chain),
+        ca=str(certificate.authority),
         backoff=Backoff(0.001, 0.01),
         spread=spread,
         rng=random.Random(1),
--- a/packages/zinniahook-caller/tests/test_sessions.py
+++ b/packages/zinniahook-caller/tests/test_sessions.py
@@ -24,7 +24,7 @@
 def session(running, certificate, **kwargs):
     kwargs.setdefault("backoff", QUICK)
     kwargs.setdefault("rng", random.Random(1))
-    return Session(running.address, ca=str(certificate.chain), **kwargs)
+    return Session(running.address, ca=str(certificate.authority), **kwargs)
 
 
 def scripted(*answers):
@@ -360,7 +360,9 @@
     def test_nobody_there_is_certainly_not_run(self, run, certificate):
         async def check(running):
             limits = Silence()
-            caller = Session("127.0.0.1:9", ca=str(certificate.chain), silence=limits)
+            caller = Session(
+                "127.0.0.1:9", ca=str(certificate.authority), silence=limits
+            )
             with pytest.raises(NotRunError) as caught:
                 await caller.post("/tickets", deadline=0.2)
             assert not isinstance(caught.value, ConnectError)
