Bench a long answer through the path against plain aioquic

Cause: streaming had no ratio to a direct HTTP/3 connection. Change: scenario agent-stream, one answer of 20 MB, checked to be whole.

--- a/packages/zinniahook-testkit/src/zinniahook_testkit/connections.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/connections.py
@@ -14,6 +14,7 @@
 import ssl
 import sys
 import tempfile
+import time
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -23,7 +24,7 @@
 from aioquic.asyncio.protocol import QuicConnectionProtocol
 from aioquic.asyncio.server import serve
 from aioquic.h3.connection import H3Connection
-from aioquic.h3.events import HeadersReceived
+from aioquic.h3.events import DataReceived, HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.events import QuicEvent
 from zinniahook_core.models import Address, RequestClass
@@ -33,7 +34,7 @@
 from .processes import Process, start
 from .scenarios import Figure, scenario
 
-__all__ = ["Cost", "measure"]
+__all__ = ["Cost", "Stream", "measure", "measure_streams"]
 
 PATH = "/ledger?size=1000"
 AT_A_TIME = 8
@@ -65,19 +66,22 @@
         self._http = H3Connection(self._quic)
         self._ended = asyncio.Event()
         self._status = b""
+        self.received = 0
 
     def quic_event_received(self, event: QuicEvent) -> None:
         """Take an event of the connection."""
         for http_event in self._http.handle_event(event):
             if isinstance(http_event, HeadersReceived):
                 self._status = dict(http_event.headers)[b":status"]
+            elif isinstance(http_event, DataReceived):
+                self.received += len(http_event.data)
             if http_event.stream_ended:
                 self._ended.set()
 
-    async def get(self) -> bytes:
+    async def get(self, path: str = PATH) -> bytes:
         """Return the status of the answer."""
         names = {":method": "GET", ":scheme": "https", ":authority": "localhost"}
-        headers = {**names, ":path": PATH}.items()
+        headers = {**names, ":path": path}.items()
         stream_id = self._quic.get_next_available_stream_id()
         pairs = [(name.encode(), value.encode()) for name, value in headers]
         self._http.send_headers(stream_id, pairs, end_stream=True)
@@ -87,7 +91,7 @@
 
 
 class PlainServer(QuicConnectionProtocol):
-    """Answers each request with a thousand bytes."""
+    """Answers each request with as many bytes as its path says."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -100,7 +104,9 @@
             if isinstance(http_event, HeadersReceived):
                 stream_id = http_event.stream_id
                 self._http.send_headers(stream_id, [(b":status", b"200")])
-                self._http.send_data(stream_id, bytes(1000), end_stream=True)
+                path = dict(http_event.headers)[b":path"]
+                size = int(path.rpartition(b"=")[2])
+                self._http.send_data(stream_id, bytes(size), end_stream=True)
                 self.transmit()
 
 
@@ -165,6 +171,63 @@
     ]
 
 
+class Stream(NamedTuple):
+    """One long answer: bytes a second, and processor seconds of the server."""
+
+    rate: float
+    processor: float
+
+
+async def stream(process: Process, address: Address, size: int) -> Stream:
+    """Measure one answer of ``size`` bytes.
+
+    Raises
+    ------
+    RuntimeError
+        If the answer isn't whole.
+    """
+    configuration = QuicConfiguration(
+        alpn_protocols=["h3"], verify_mode=ssl.CERT_NONE, idle_timeout=IDLE_TIMEOUT
+    )
+    async with connect(
+        *address, configuration=configuration, create_protocol=Client
+    ) as client:
+        processor, started = process.processor_time(), time.monotonic()
+        await client.get(f"/ledger?size={size}")
+        seconds = time.monotonic() - started
+        if client.received != size:
+            raise RuntimeError(f"{client.received} of {size} bytes came")
+        return Stream(size / seconds, process.processor_time() - processor)
+
+
+async def _measure_streams(size: int) -> tuple[Stream, Stream]:
+    with tempfile.TemporaryDirectory() as folder:
+        async with Cluster(DEPLOYMENT, Path(folder)) as cluster:
+            address = Address.parse(cluster.addresses_by_service[PLAN.name])
+            agent = await stream(cluster.agents_by_name["ledger-1"], address, size)
+            files = cluster.authority.issue("plain")
+        arguments = ("plain", files.certificate, files.key)
+        with start("zinniahook_testkit.connections", *arguments) as process:
+            address = Address.parse(process.ready["address"])
+            return agent, await stream(process, address, size)
+
+
+@scenario("agent-stream")
+def measure_streams(size: int = 20_000_000) -> list[Figure]:
+    """Compare a long answer through the whole path with one of plain aioquic."""
+    agent, plain = asyncio.run(_measure_streams(size))
+    return [
+        Figure("bytes a second through the path", agent.rate, "B/s"),
+        Figure("bytes a second, plain aioquic", plain.rate, "B/s"),
+        Figure("rate against plain aioquic", agent.rate / plain.rate, "ratio"),
+        Figure(
+            "processor against plain aioquic",
+            agent.processor / plain.processor,
+            "ratio",
+        ),
+    ]
+
+
 async def _serve_plain(certificate: str, key: str) -> None:
     configuration = QuicConfiguration(
         alpn_protocols=["h3"], is_client=False, idle_timeout=IDLE_TIMEOUT
