Ask later what an owner decided and doesn't stand

Sequence: an attempt waits to be refused by its own agent, which owns the key and has granted it to a later attempt meanwhile. Cause: the owner decided the same again and asked itself at once, without end; mended the decision that was met, not the loop. Change: the ask is renewed and sent at a later tick.

--- a/packages/zinniahook-core/src/zinniahook_core/claims.py
+++ b/packages/zinniahook-core/src/zinniahook_core/claims.py
@@ -249,13 +249,16 @@
     # As asker and runner
 
     def _ask_anew(self, now: float, ask: Ask) -> None:
+        self._renew(now, ask)
+        self._send(now, ask)
+
+    def _renew(self, now: float, ask: Ask) -> None:
         self._asks_by_number.pop(ask.number, None)
         ask.number = self._next_number()
         ask.owner = self.view.owner(ask.key)
         ask.partner = ""
-        ask.first_sent_at = now
+        ask.first_sent_at = ask.sent_at = now
         self._asks_by_number[ask.number] = ask
-        self._send(now, ask)
 
     def _repeat(self, now: float, ask: Ask) -> None:
         if now - ask.first_sent_at >= GRANT_LIFETIME:
@@ -348,7 +351,9 @@
             return
         record = self.records.get(now, ask.key)
         if not self._stands(record, ask):
-            self._ask_anew(now, ask)
+            # Asked again at a later tick: at once, an owner that keeps
+            # deciding what doesn't stand would ask itself without end.
+            self._renew(now, ask)
             return
         ask.partner = partners[ask.tries // PARTNER_TRIES % len(partners)]
         ask.tries += 1
@@ -441,7 +446,9 @@
             return
         record = self.records.get(now, ask.key)
         if not self._stands(record, ask):
-            self._ask_anew(now, ask)
+            # Asked again at a later tick: at once, an owner that keeps
+            # deciding what doesn't stand would ask itself without end.
+            self._renew(now, ask)
             return
         record.other = sender
         record.other_incarnation = self.view.incarnation_of(sender)
--- a/packages/zinniahook-core/tests/test_lookups.py
+++ b/packages/zinniahook-core/tests/test_lookups.py
@@ -1,7 +1,13 @@
 """Lookups of a key at all members."""
 
+import itertools
+
+from zinniahook_core.claims import Claims
 from zinniahook_core.lookups import PATIENCE, SILENT_PATIENCE, Lookup, Lookups
 from zinniahook_core.messages import ClaimAnswer, ClaimAsk, ClaimIntent, ClaimState
+from zinniahook_core.models import Address, AgentState, Member, Roster
+from zinniahook_core.records import refused
+from zinniahook_core.rendezvous import best
 
 
 def lookup(number, key, begun_at):
@@ -57,3 +63,32 @@
         second = lookup(2, b"key-2", 1.0)
         lookups.begin(second)
         assert lookups.overdue(1.0 + SILENT_PATIENCE) == []
+
+
+class TestOwnDecision:
+    def test_one_that_does_not_stand_is_asked_for_later(self, monkeypatch):
+        """
+        Symptom: RecursionError at the agent that owns a key. Sequence: it is
+        about to refuse an attempt whose key it granted to a later one.
+        Cause: it asked itself again at once, and decided the same again.
+        """
+        monkeypatch.setattr(Claims, "_stands", lambda *_: False)
+        names = ("a", "b", "c")
+        address = Address("10.0.0.1", 1)
+        members = {
+            name: Member(name, address, address, address, "z", 1, AgentState.READY, 4)
+            for name in names
+        }
+        claims = Claims("a")
+        claims.learn(0.0, Roster("tally", 1, members))
+        claims.confirm(0.0, 1)
+        numbers = itertools.count()
+        key = next(k for k in map(b"%d".__mod__, numbers) if best(k, names) == "a")
+        claims.records.put(10_000.0, key, refused(10_000.0, "a", 1, 1))
+        claims.begin(10_000.0, 7, key, 1, ClaimIntent.REFUSE, until=10_002.0)
+        for tick in range(30):
+            claims.tick(10_000.0 + tick / 10)
+        _, settled = claims.take()
+        assert [(one.request, one.state) for one in settled] == [
+            (7, ClaimState.UNKNOWN)
+        ]
