--- a/packages/zinniahook-cli/src/zinniahook_cli/views.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/views.py
@@ -16,6 +16,7 @@
 from .daemons import progress
 from .fleets import Fleet, read_fleet
 from .grammar import CommandError
+from .reports import MICROSECONDS, merged
 from .statements import Show, Word
 from .tables import Table, filtered, grouped
 
@@ -24,6 +25,8 @@
 
 __all__ = ["VIEWS_BY_NAME", "View", "show", "stored_at", "whole_number"]
 
+QUANTILES = (50, 90, 99, 100)
+
 
 class View(NamedTuple):
     """A view with its columns' source and what it is for."""
@@ -315,6 +318,28 @@
     return Table(columns, tuple(sorted(rows)), _silent(fleet))
 
 
+@_view("latencies")
+async def _latencies(session: Session, statement: Show) -> Table:
+    """Latencies of answered requests in seconds, by service and class."""
+    fleet = await _fleet(session, statement, counters=True)
+    histograms = [
+        histogram
+        for reply in fleet.survey.answers_by_control.values()
+        for histogram in reply.histograms
+    ]
+    rows = tuple(
+        (*key, values.get_total_count(), *_quantiles(values))
+        for key, values in sorted(merged(histograms).items())
+    )
+    columns = ("service", "class", "count", "p50", "p90", "p99", "max")
+    return Table(columns, rows, _silent(fleet))
+
+
+def _quantiles(values: Any) -> tuple[float, ...]:
+    microseconds = [values.get_value_at_percentile(each) for each in QUANTILES]
+    return tuple(each / MICROSECONDS for each in microseconds)
+
+
 @_view("rollout")
 async def _rollout(session: Session, statement: Show) -> Table:
     """How far the newest generation has come, by data centre."""
--- a/packages/zinniahook-cli/tests/test_views.py
+++ b/packages/zinniahook-cli/tests/test_views.py
@@ -3,13 +3,14 @@
 import asyncio
 
 import pytest
+from hdrh.histogram import HdrHistogram
 from zinniahook_cli import grammar
 from zinniahook_cli.daemons import Silent, Survey
 from zinniahook_cli.views import VIEWS_BY_NAME
 from zinniahook_core.codes import Code, ZinniahookError
 from zinniahook_core.models import Address, AgentState, Member, Roster
 from zinniahook_wire import documents
-from zinniahook_wire.control_pb2 import StatusReply
+from zinniahook_wire.control_pb2 import Histogram, StatusReply
 
 READY = Address("127.0.0.1", 7001)
 LEAVING = Address("127.0.0.1", 7002)
@@ -32,6 +33,13 @@
 DAEMONS = [documents.Daemon("entry-1", "entry", ENTRY, 1)]
 
 
+def tickets(*seconds):
+    values = HdrHistogram(1, 10**9, 2)
+    for each in seconds:
+        values.record_value(round(each * 1e6))
+    return Histogram(service="tally", request_class="ticket", encoded=values.encode())
+
+
 class FakeDaemons:
     """Answers for one agent and one entry; the other agent is silent."""
 
@@ -50,6 +58,7 @@
                 flows=9,
                 counters_by_name={"agent.requests": 5},
                 drops_by_code={int(Code.NO_AGENT): 2},
+                histograms=[tickets(0.1, 0.2, 0.2, 0.4)],
             ),
             ENTRY: StatusReply(name="entry-1", role="entry", state="serving"),
         }
@@ -102,6 +111,11 @@
         assert table.columns[0] == "target"
         assert table.rows == (("10.0.0.7:9001", 9, 0, 2, 0),)
 
+    def test_latencies_by_service_and_class(self, ask):
+        ((service, kind, count, *quantiles),) = ask("show latencies").table.rows
+        assert (service, kind, count) == ("tally", "ticket", 4)
+        assert quantiles == pytest.approx([0.2, 0.4, 0.4, 0.4], rel=0.01)
+
     def test_entries_come_from_their_announcements(self, ask):
         assert [row[0] for row in ask("show entries").table.rows] == ["entry-1"]
 
