Give agents without a target no home role, and end searches that were answered

Change: who says that it has seen no target is no home as long as anybody else is, gets one opening at a time from each home, and counts as refusing once it has returned one; it is waited for 1.2 s instead of 2.0 once silent.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -363,6 +363,9 @@
 
     def _found(self, now: float, flow: Flow) -> None:
         self.log.event("flow.found", flow=flow.key, asker=flow.asker)
+        # Also if this agent isn't its home: a search that was begun here would
+        # go on and bring the packet to other targets.
+        self.home.learn(now, self.address, [flow.key])
         if flow.entry:
             self.registry.tell_owner(now, flow.entry, [flow.key])
         self.registry.register(now, flow, force=True)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/members.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/members.py
@@ -43,8 +43,9 @@
 """Seconds of silence after which nobody waits for a member's flows: longer
 than any pause that an agent outlives in service (4 s)."""
 
-UNKNOWN_LOST_AFTER = 2.0
-"""The same for a member that was never heard with a target: time to start."""
+UNKNOWN_LOST_AFTER = 1.2
+"""The same for a member that was never heard with a target: a killed process
+runs again after 0.7 s and tells of itself in the next 0.2 s."""
 
 USUAL_SLOTS = 2
 """Slots of a target as long as none has told its own: few, as a target that
@@ -101,6 +102,11 @@
         """Whether a request that is sent there now needn't wait."""
         return self.busy + self.placed < self.slots
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether it says that it hasn't seen a target yet."""
+        return self.incarnation > 0 and self.state is State.STARTING
+
     def heard(self, now: float) -> None:
         """Note a sign of life."""
         self.heard_at = now
@@ -124,6 +130,7 @@
         self.by_address: dict[str, Member] = {}
         self._own = own
         self._present: tuple[str, ...] | None = None
+        self._candidates: tuple[str, ...] = ()
         self._is_peer = bool(own)
 
     @property
@@ -176,15 +183,12 @@
         for address, member in list(self.by_address.items()):
             if now - member.heard_at > FORGET_AFTER and self.is_silent(now, member):
                 self.drop(address)
-        former = self._present
-        self._present = tuple(
-            sorted(
-                member.address
-                for member in self.by_address.values()
-                if not self.is_silent(now, member)
-            )
-        )
-        return former != self._present
+        former = self._present, self._candidates
+        here = [m for m in self.by_address.values() if not self.is_silent(now, m)]
+        self._present = tuple(sorted(member.address for member in here))
+        seated = tuple(sorted(m.address for m in here if not m.is_empty))
+        self._candidates = seated or self._present
+        return former != (self._present, self._candidates)
 
     def present(self, now: float) -> tuple[str, ...]:
         """Return the addresses of those that can be asked and sent to."""
@@ -192,6 +196,17 @@
             self.refresh(now)
         return self._present or ()
 
+    def _home_candidates(self, now: float) -> tuple[str, ...]:
+        """Return the addresses of those that may be home.
+
+        What goes wrong if an agent without a target is one: it is new and its
+        target comes in seconds, or none comes and the agent ends; each time a
+        share of the flows changes its home, and the openings of a second are
+        sent to an agent that is gone.
+        """
+        self.present(now)
+        return self._candidates
+
     def absent(self, now: float) -> list[str]:
         """Return those that are silent but may still hold flows."""
         return [
@@ -216,15 +231,15 @@
 
     def homes(self, now: float, flow: bytes, most: int = 2) -> list[str]:
         """Return the best ranked present members for a flow."""
-        present = self.present(now)
-        if len(present) <= 1:
-            return list(present)
-        return rendezvous.rank(flow, present)[:most]
+        candidates = self._home_candidates(now)
+        if len(candidates) <= 1:
+            return list(candidates)
+        return rendezvous.rank(flow, candidates)[:most]
 
     def home(self, now: float, flow: bytes) -> str | None:
         """Return the member that knows the owner of a flow, or places it."""
-        present = self.present(now)
-        return rendezvous.best(flow, present) if present else None
+        candidates = self._home_candidates(now)
+        return rendezvous.best(flow, candidates) if candidates else None
 
     def usual_slots(self) -> int:
         """Return the median of the slots that targets have told."""
@@ -238,10 +253,10 @@
     def takers(self, now: float, without: Iterable[str] = ()) -> list[Member]:
         """Return the members that may open flows, else those that might.
 
-        One whose target hasn't shown itself may have none yet, so it gets an
-        opening only if the others have no free slot. What goes wrong without:
-        after a restart of every agent one target gets all openings until the
-        heartbeats of the others, which takes up to a second.
+        One whose target hasn't shown itself may have none yet, so it gets one
+        opening at a time, and only if the others have no free slot. What goes
+        wrong without: after a restart of every agent one target gets all
+        openings until the heartbeats of the others, which takes up to a second.
         """
         here = [
             self.by_address[address]
@@ -251,7 +266,10 @@
         ready = [member for member in here if member.state in OPEN_STATES]
         if any(member.has_room for member in ready):
             return ready
-        return ready + [m for m in here if m.state is State.STARTING]
+        starting = [member for member in here if member.state is State.STARTING]
+        if not ready:
+            return starting
+        return ready + [m for m in starting if m.has_room and not m.placed]
 
     def probes(self, now: float) -> list[str]:
         """Return the silent members that are due for a hello."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/target.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/target.py
@@ -130,7 +130,13 @@
         self._refused_at = now
 
     def refuses(self, now: float) -> bool:
-        """Tell whether the target returned an opening lately."""
+        """Tell whether the target returned an opening lately.
+
+        One that has done nothing else yet may be no target at all, and goes on
+        refusing until a heartbeat tells otherwise.
+        """
+        if not self.name and not self._answers:
+            return self._refused_at > float("-inf")
         return now - self._refused_at < REFUSED_FOR
 
     def given(self, now: float) -> None:
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/packetends.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packetends.py
@@ -144,6 +144,9 @@
         self.alive = True
         self.leaving = False
         self.full = False
+        self.silent = False
+        """Sends no heartbeats."""
+
         self.work = 0.06
         self._free_at = [0.0] * slots
         self.ran: list[bytes] = []
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/packetworlds.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packetworlds.py
@@ -261,7 +261,7 @@
     def beat(self, agent: SimulatedAgent) -> None:
         """Let a target send its heartbeat."""
         target = agent.target
-        if agent.core is None or target is None or not target.alive:
+        if agent.core is None or target is None or not target.alive or target.silent:
             return
         agent.beats += 1
         beat = Beat(
--- a/packages/zinniahook-testkit/tests/test_packets.py
+++ b/packages/zinniahook-testkit/tests/test_packets.py
@@ -87,11 +87,16 @@
     Cause: each agent must find out which flows its target holds.
     """
 
-    @pytest.mark.parametrize("seed", SEEDS)
-    @pytest.mark.parametrize("loss", [0.0, 0.02])
+    @pytest.mark.parametrize("seed", range(12))
+    @pytest.mark.parametrize("loss", [0.0, 0.02, 0.05])
     def test_flows_go_on(self, seed, loss):
+        """Also if the agent that searched finds the flow at its own target.
+
+        It isn't the flow's home as long as others have seen their targets
+        before; its search went on, and other targets got the packet.
+        """
         world = PacketWorld(seed, loss=loss)
-        flows = opened(world, seconds=1.5)
+        flows = opened(world, seconds=2.5)
         for agent in world.agents_by_address.values():
             world.start_agent(agent)
         for address in world.entries_by_address:
@@ -369,3 +374,53 @@
         world.beat(first)
         world.run(0.3)
         assert {agent.core.membership.slots for agent in others} == {4}
+
+
+class TestAgentWithoutTarget:
+    """Symptom: after a loss of power a seventh of the openings is lost for a second.
+
+    Sequence: the instance of a target that was taken away starts again with the
+    others; what is there returns every packet, and half a second later the
+    instance is gone. Cause: an agent that has only just started was home for
+    its share of the flows, and took openings while others had no free slot.
+    """
+
+    @staticmethod
+    def world_with_empty_agent(seed):
+        world = PacketWorld(seed)
+        empty = next(iter(world.agents_by_address.values()))
+        for agent in world.agents_by_address.values():
+            world.start_target(agent)
+            world.start_agent(agent)
+        for address in world.entries_by_address:
+            world.start_entry(address)
+        empty.target.full = True
+        empty.target.silent = True
+        world.run(1.3)
+        return world, empty
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_gets_few_openings_under_load(self, seed):
+        world, _ = self.world_with_empty_agent(seed)
+        flows = []
+        for _ in range(200):
+            flows.append(world.open_flow())
+            world.run(0.002)
+        world.run(0.5)
+        # 4 to 11 with seeds 0 to 5; 58 to 77 if each home tries again and again.
+        assert world.log.counts["returned"] <= 2 * len(world.agents_by_address)
+        assert world.findings() == []
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_its_end_delays_no_opening(self, seed):
+        world, empty = self.world_with_empty_agent(seed)
+        opened(world, 20)
+        empty.core = None
+        flows = []
+        for _ in range(50):
+            flows.append(world.open_flow())
+            world.run(0.02)
+        world.run(0.15)
+        assert {flow.state for flow in flows} == {"open"}
+        assert {flow.copies for flow in flows} == {0}
+        assert world.findings() == []
