Let a search for a flow's owner last until it has a verdict

Change: a search lasts until everyone present denies and nobody silent may hold the flow, 5 s at most; the silent are asked each 0.06 s for half a second, then each 0.3 s, and again if they come back.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
@@ -30,15 +30,22 @@
 """Seconds within which a repeated opening goes to the same agent again: it is
 a duplicate of the network, not a client that waited for 0.2 s."""
 
-SEARCH_TIMEOUT = 0.5
-"""Seconds for the answers to a search: a few waves in which someone is silent.
-A client repeats its packet after 0.2 and 0.6 s."""
+SEARCH_LONGEST = 5.0
+"""Seconds for a search: above the time for which a silent agent may still hold
+flows. A search that ended sooner would leave the client to its next packet,
+which comes up to 1.6 s later."""
 
 SEARCH_REPEAT = 0.06
 """Seconds until those that haven't answered are asked again: above the time in
 which a target returns a packet. What goes wrong without: the question to the
 owner gets lost, and only other targets have seen the packet."""
 
+SEARCH_HURRY = 0.5
+"""Seconds of a search after which the silent are asked at longer pauses: most
+of them are gone."""
+
+SEARCH_REPEAT_LATE = 0.3
+
 HELD_LIMIT = 16
 """Packets kept for a search: what a client may have in flight."""
 
@@ -76,8 +83,8 @@
 class Search:
     """A search for the owner of a flow."""
 
-    until: float
-    asked_at: float
+    begun: float
+    ask_at: float
     waiting: set[str]
     queue: list[str]
     may_conclude: bool
@@ -305,23 +312,19 @@
                 continue
             search.waiting.discard(sender)
             # The own target may be the one that doesn't answer.
-            if search.waiting - {self.node.address}:
-                continue
-            self._ask_more(now, search)
-            if not search.waiting:
-                self._conclude(now, flow, search)
+            if not search.waiting - {self.node.address}:
+                self._go_on(now, flow, search)
 
     def tick(self, now: float) -> None:
         """End what is overdue."""
         for flow, search in list(self._searches.items()):
-            if now >= search.until:
+            if now >= search.begun + SEARCH_LONGEST:
                 del self._searches[flow]
                 self.node.log.event(
                     "search.timeout", flow=flow, silent=sorted(search.waiting)
                 )
-            elif now - search.asked_at >= SEARCH_REPEAT:
-                self._ask(now, search, search.waiting - {self.node.address})
-                self._ask_more(now, search)
+            elif now >= search.ask_at:
+                self._ask_again(now, flow, search)
         for flow, made in list(self._placements.items())[:64]:
             if now - made.at <= PLACEMENTS_KEPT:
                 break
@@ -362,29 +365,47 @@
         present = self.roster.present(now)
         others = [name for name in present if name != self.node.address]
         self.node.rng.shuffle(others)
-        # An agent that is silent may be cut off from here only and hold it; a
-        # packet without data may be the last of a flow that has ended well.
-        sure = not head.marks & Mark.SHARED and not self.roster.may_hold_unseen(now)
-        sure = sure and packet.length > 0
-        search = Search(now + SEARCH_TIMEOUT, now, set(), others, sure, head, packet)
+        # A packet without data may be the last of a flow that has ended well.
+        sure = not head.marks & Mark.SHARED and packet.length > 0
+        ask_at = now + SEARCH_REPEAT
+        search = Search(now, ask_at, set(), others, sure, head, packet)
         self._searches[packet.flow] = search
         self.node.log.event("search", flow=packet.flow, agents=len(others))
         if here is Taken.OPEN:
             search.waiting.add(self.node.address)
             return
-        self._ask_more(now, search)
-        if not search.waiting:
-            self._conclude(now, packet.flow, search)
+        self._go_on(now, packet.flow, search)
+
+    def _ask_again(self, now: float, flow: bytes, search: Search) -> None:
+        """Ask those that haven't answered, and take note of who has gone.
 
-    def _ask_more(self, now: float, search: Search) -> None:
-        """Ask the next few agents, if any are left."""
+        An agent that went silent is asked again if it comes back; until then
+        the search waits for as long as it may hold the flow.
+        """
+        hurry = now < search.begun + SEARCH_HURRY
+        search.ask_at = now + (SEARCH_REPEAT if hurry else SEARCH_REPEAT_LATE)
+        here = {*self.roster.present(now), self.node.address}
+        gone = search.waiting - here
+        search.waiting -= gone
+        search.queue += gone
+        self._ask(now, search, search.waiting - {self.node.address})
+        self._go_on(now, flow, search)
+
+    def _go_on(self, now: float, flow: bytes, search: Search) -> None:
+        """Ask the next few agents; end the search if none is left to ask."""
+        present = self.roster.present(now)
         width = max(WAVE, len(self.roster.by_address) // WAVES)
-        wave = search.queue[:width]
-        del search.queue[:width]
+        wave = [name for name in search.queue if name in present][:width]
+        search.queue = [name for name in search.queue if name not in wave]
         self._ask(now, search, wave)
+        if search.waiting:
+            return
+        # An agent that is silent may be cut off from here only and hold it.
+        if search.may_conclude and self.roster.may_hold_unseen(now):
+            return
+        self._conclude(now, flow, search)
 
     def _ask(self, now: float, search: Search, names: Iterable[str]) -> None:
-        search.asked_at = now
         for name in names:
             search.waiting.add(name)
             self._pass(now, search.head, search.packet, name, Mark.SEARCH)
--- a/packages/zinniahook-testkit/tests/test_packets.py
+++ b/packages/zinniahook-testkit/tests/test_packets.py
@@ -424,3 +424,35 @@
         assert {flow.state for flow in flows} == {"open"}
         assert {flow.copies for flow in flows} == {0}
         assert world.findings() == []
+
+
+class TestLostFlowsAfterPowerLoss:
+    """Symptom: clients of flows that nobody holds wait until their time is over.
+
+    Sequence: everything loses power, one instance doesn't come back, and
+    clients go on with their open flows. Cause: a search that an agent didn't
+    answer ended after 0.5 s without a verdict, and the next one began with
+    the client's next packet, up to 1.6 s later.
+    """
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_are_reset_once_nobody_can_hold_them(self, seed):
+        world = PacketWorld(seed)
+        flows = opened(world)
+        gone, *others = world.agents_by_address.values()
+        gone.target = None
+        world.start_agent(gone)
+        for agent in others:
+            world.start_target(agent)
+            world.start_agent(agent)
+        for address in world.entries_by_address:
+            world.start_entry(address)
+        world.run(0.4)
+        gone.core = None
+        world.run(0.3)
+        for flow in flows:
+            world.ask(flow)
+        # They repeat their packets 0.2, 0.6 and 1.4 s later.
+        world.run(1.2)
+        assert {flow.state for flow in flows} == {"reset"}
+        assert world.findings() == []
