--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,6 @@
 VENV := .venv
+# Most tests wait for processes; a class stays together, as its tests may share some.
+TEST_JOBS := 4
 PYTHON := $(VENV)/bin/python
 PACKAGES := -e packages/zinniahook-core -e packages/zinniahook-wire -e packages/zinniahook-store -e packages/zinniahook-caller -e packages/zinniahook-daemon -e packages/zinniahook-cli -e packages/zinniahook-testkit -e platform
 
@@ -15,7 +17,7 @@
 	$(PYTHON) -m zinniahook_testkit.demo
 
 test: install
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n $(TEST_JOBS) --dist loadscope
 
 lint: install
 	$(VENV)/bin/ruff format --check .
