Take a target's reset on trial as a denial; tell who searches; place held openings once

Cause: a target that is just starting answers packets of flows that it doesn't hold with a reset instead of returning them. Its agent, asked in a search, sent that reset on to the client and claimed the flow.

Changes: a reset of a flow on trial is a denial and goes nowhere; openings younger than 0.02 s when the agent first tells of itself aren't routed again; the owner tells the agent that searches, also if that isn't one of its homes, so that the search ends at once.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -164,6 +164,8 @@
             return
         if flow is not None and flow.matches(packet.acknowledged):
             self._deliver(now, head, packet, flow)
+            if head.marks & Mark.SEARCH:
+                self._answer_search(now, sender, flow)
         else:
             self._stray(now, sender, head, packet)
 
@@ -224,10 +226,18 @@
         if flow.entry != head.entry or not head.marks & Mark.HINTED:
             flow.entry = head.entry
             self.registry.tell_owner(now, head.entry, [flow.key])
-        if head.marks & Mark.SEARCH:
-            self.registry.register(now, flow, force=True)
         self.links.to_target(packet.raw)
 
+    def _answer_search(self, now: float, asker: str, flow: Flow) -> None:
+        """Tell who searches for a flow, and its homes, that it is owned here.
+
+        The asker may be none of its homes here. What goes wrong without
+        telling it: it goes on asking, and other targets get the packet.
+        """
+        if asker and asker != self.address:
+            self.registry.tell_owner(now, asker, [flow.key])
+        self.registry.register(now, flow, force=True)
+
     def _asked(self, now: float, flow: Flow, packet: Packet) -> None:
         self.target.given(now)
         self.flows.asked(now, flow)
@@ -276,10 +286,33 @@
             self.target.heard(now)
             self._bounced(now, packet)
             return
+        flow = self.flows.get(packet.flow)
+        tried = flow is not None and flow.standing is Standing.TRIED
+        if tried and packet.flags & Flag.RESET:
+            self._reset_on_trial(now, flow)
+            return
         self.target.spoke(now)
         self.links.to_client(packet.flow, raw)
         self._answered(now, packet)
 
+    def _reset_on_trial(self, now: float, flow: Flow) -> None:
+        """Take a reset of a flow on trial as "not mine", and keep it.
+
+        What goes wrong without: a target that is just starting, or has done
+        with an earlier flow from the same port, resets what it doesn't hold
+        instead of returning it, and the client loses its flow at the target
+        that does.
+        """
+        self.target.heard(now)
+        self.log.event("trial.reset", flow=flow.key, asker=flow.asker)
+        self._deny_trial(now, flow)
+
+    def _deny_trial(self, now: float, flow: Flow) -> None:
+        self.flows.drop(flow.key)
+        self.trials.denied(now, flow.key)
+        self.registry.deny(now, flow.asker, flow.key)
+        self.home.denied(now, self.address, [flow.key])
+
     def _answered(self, now: float, packet: Packet) -> None:
         flow = self.flows.get(packet.flow)
         if flow is None:
@@ -339,12 +372,10 @@
             return
         if flow is None:
             return
-        self.flows.drop(flow.key)
         if flow.standing is Standing.TRIED:
-            self.trials.denied(now, flow.key)
-            self.registry.deny(now, flow.asker, flow.key)
-            self.home.denied(now, self.address, [flow.key])
+            self._deny_trial(now, flow)
             return
+        self.flows.drop(flow.key)
         if flow.standing is Standing.OPEN and flow.first is not None:
             self._lost(flow, packet)
 
@@ -369,7 +400,7 @@
         self.home.learn(now, self.address, [flow.key])
         if flow.entry:
             self.registry.tell_owner(now, flow.entry, [flow.key])
-        self.registry.register(now, flow, force=True)
+        self._answer_search(now, flow.asker, flow)
 
     def _flows_told(self, now: float, sender: str, head: Head, body: bytes) -> None:
         decoded = tunnel.decode_owner(body)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
@@ -40,6 +40,12 @@
 """Seconds for which a packet to an agent that was never heard is held: a client
 repeats an opening after 0.2 and 0.6 s itself."""
 
+HELD_LEAST = 0.02
+"""Seconds that a packet must have been held to be routed again: an agent that
+runs tells of itself 2 ms after the first packet. What goes wrong without: an
+agent that has the opening already gets it again, or another one does, and the
+client's flow stands at two targets."""
+
 HELD_LIMIT = 1024
 """Packets held in all, 1.3 MB."""
 
@@ -257,9 +263,10 @@
         """
         held = self._held_by_agent.pop(address, [])
         self._held -= len(held)
-        if held:
-            self.log.event("held.released", agent=address, packets=len(held))
-        for _, packet in held:
+        lost = [each.packet for each in held if now - each.at >= HELD_LEAST]
+        if lost:
+            self.log.event("held.released", agent=address, packets=len(lost))
+        for packet in lost:
             self._route(now, packet, None)
 
     def _drop_held(self, now: float) -> None:
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/packetends.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packetends.py
@@ -147,6 +147,9 @@
         self.silent = False
         """Sends no heartbeats."""
 
+        self.resets_unknown = False
+        """Resets packets of flows that it doesn't hold, as it is starting."""
+
         self.work = 0.06
         self._free_at = [0.0] * slots
         self.ran: list[bytes] = []
@@ -168,6 +171,8 @@
         held = self.by_flow.get(packet.flow)
         if held is None or (not held.open and not self._opens(held, packet)):
             self.foreign.append((now, packet.flow))
+            if self.resets_unknown:
+                return [(0.0, self._codec.reset(packet.flow, packet.acknowledged))]
             return [(0.0, self._codec.returned(raw))]
         return self._take(now, packet, held)
 
