Claim a flow only after the target has kept its packet twice

Change: a sign of life after a trial makes the agent give the packet again; the flow is claimed only if the target is heard again and still hasn't returned it. An owner answers the packet itself and is known at once, as before.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/trials.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/trials.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from .flows import Flow, Flows, Standing
 from .homes import Taken
@@ -36,6 +37,15 @@
 """Seconds after which no flow can be older than this process."""
 
 
+class _Trial(NamedTuple):
+    """A packet that was given to the target to see whether it returns it."""
+
+    begun: float
+    given_at: float
+    raw: bytes
+    repeated: bool = False
+
+
 class Trials:
     """The trials of one agent.
 
@@ -63,7 +73,7 @@
         self._links = links
         self._found = found
         self._started: float | None = None
-        self._since_by_flow: dict[bytes, float] = {}
+        self._by_flow: dict[bytes, _Trial] = {}
         self._denied_until: dict[bytes, float] = {}
 
     def start(self, now: float) -> None:
@@ -88,7 +98,7 @@
         flow = Flow(key, Standing.TRIED, now, head.entry, asker)
         flow.acknowledged = packet.acknowledged
         self._flows.add(flow)
-        self._since_by_flow[key] = now
+        self._by_flow[key] = _Trial(now, now, packet.raw)
         self._links.to_target(packet.raw)
         return Taken.OPEN
 
@@ -99,7 +109,7 @@
         and can't answer yet, the client repeats its packet, and other targets
         get each copy of it.
         """
-        self._since_by_flow.pop(key, None)
+        self._by_flow.pop(key, None)
         denied = self._denied_until
         denied[key] = now + DENIAL_KEPT
         while len(denied) > DENIALS_LIMIT:
@@ -109,7 +119,7 @@
         """Note that the target holds a flow."""
         flow.standing = Standing.OPEN
         flow.since = now
-        self._since_by_flow.pop(flow.key, None)
+        self._by_flow.pop(flow.key, None)
         self._found(now, flow)
 
     def tick(self, now: float) -> None:
@@ -118,18 +128,31 @@
         What goes wrong if silence alone counts: the target is dead, its agent
         claims every flow it is asked for, and resets flows of others later.
         """
-        for key, since in list(self._since_by_flow.items())[:CHECKED_PER_TICK]:
-            if now - since < TRIAL_TIME:
-                break
+        for key, trial in list(self._by_flow.items())[:CHECKED_PER_TICK]:
+            if now - trial.given_at < TRIAL_TIME:
+                continue
             flow = self._flows.get(key)
             if flow is None or flow.standing is not Standing.TRIED:
-                del self._since_by_flow[key]
-            elif self._target.heard_since(since):
-                self.succeeded(now, flow)
-            elif now - since > TRIAL_LONGEST:
-                del self._since_by_flow[key]
+                del self._by_flow[key]
+            elif self._target.heard_since(trial.given_at):
+                self._judge(now, flow, trial)
+            elif now - trial.begun > TRIAL_LONGEST:
+                del self._by_flow[key]
                 self._flows.drop(key)
 
+    def _judge(self, now: float, flow: Flow, trial: _Trial) -> None:
+        """Claim a flow whose packet a living target has kept twice.
+
+        What goes wrong with once: the target was dead as it got the packet,
+        another one has started since, and its first sign of life passes for
+        that of a target that kept the packet.
+        """
+        if trial.repeated:
+            self.succeeded(now, flow)
+            return
+        self._by_flow[flow.key] = trial._replace(given_at=now, repeated=True)
+        self._links.to_target(trial.raw)
+
     def _may_hold_unknown(self, now: float) -> bool:
         if self._started is None or now - self._started > LONGEST_FLOW:
             return False
--- a/packages/zinniahook-testkit/tests/test_packet_restarts.py
+++ b/packages/zinniahook-testkit/tests/test_packet_restarts.py
@@ -414,3 +414,36 @@
             world.start_entry(address)
         assert asked(world, flows, 2.0) == [1] * len(flows)
         assert world.findings() == []
+
+
+class TestTargetThatStartsDuringATrial:
+    """Symptom: a flow of a healthy target is reset seconds later.
+
+    Sequence: a flow's packet is on trial at a dead target; a new target starts
+    there and sends something else. Cause: that passed for a sign of life of
+    the one that had got the packet; the flow was claimed, and reset with the
+    dead target's flows.
+    """
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_its_agent_claims_nothing(self, seed):
+        world = PacketWorld(seed)
+        flows = opened(world)
+        dead, *others = world.agents_by_address.values()
+        lost = {flow.key for flow in flows if flow.key in dead.target.by_flow}
+        living = [flow for flow in flows if flow.key not in lost]
+        dead.target.alive = False
+        for agent in [dead, *others]:
+            world.start_agent(agent)
+        for address in world.entries_by_address:
+            world.start_entry(address)
+        for flow in living:
+            world.ask(flow)
+        world.run(0.03)
+        world.start_target(dead)
+        world.beat(dead)
+        world.run(2.0)
+        claimed = [key for key in dead.core.flows.by_key if key not in lost]
+        held = [key for key in claimed if key not in dead.target.by_flow]
+        assert held == []
+        assert world.findings() == []
