Don't tell on what others have told of a member; leave malformed rows out

Read in the diff: an agent that was gone would have been told of with the age that a peer had told, rounded, so that two peers could keep each other believing; and a roster with rows of another shape (a daemon of another version) ended in an exception for each datagram.

Change: a daemon tells only of what it heard itself; rows are checked, counted and left out. TestGoneAgent holds the property (it passes with the former rows, too: the rounding cancels in the model); TestMalformedRosters fails without the check.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/members.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/members.py
@@ -311,10 +311,11 @@
         return [row for row in rows if row[0] in present or row[2] is not None]
 
     def _row(self, now: float, member: Member) -> tuple[str, int, float | None]:
+        # What others have told isn't told on: of an agent that is gone each
+        # would have heard from the next one for ever.
         known = member.has_told and not member.is_empty
-        heard_at = max(member.heard_at, member.vouched_at)
-        age = 0.0 if member.address == self._own else round(now - heard_at, 2)
-        return member.address, member.zone, age if known else None
+        silent_for = 0.0 if member.address == self._own else now - member.heard_at
+        return member.address, member.zone, silent_for if known else None
 
     def vouch(self, now: float, address: str, age: float | None) -> None:
         """Note how long ago a peer has heard a member.
--- a/packages/zinniahook-core/src/zinniahook_core/packets/node.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/node.py
@@ -3,20 +3,33 @@
 from __future__ import annotations
 
 import random
-from typing import Any
+from typing import Any, NamedTuple
 
 from . import tunnel
 from .freshness import Freshness
 from .models import Codec, Links, Log, Routes
 from .tunnel import Head, Kind, zone_tag
 
-__all__ = ["HOP_LIMIT", "Node"]
+__all__ = ["HOP_LIMIT", "Node", "Row"]
 
 HOP_LIMIT = 6
 """Daemons that a packet may pass: entry, former home, home, two agents that
 can't take it, one to spare. Two daemons with different rosters would pass a
 packet to and fro for ever without."""
 
+
+class Row(NamedTuple):
+    """An agent as a roster tells of it.
+
+    ``zone`` is the tag of its data centre, ``age`` how many seconds ago the
+    teller heard it with a target, None if never.
+    """
+
+    address: str
+    zone: int
+    age: float | None
+
+
 NEWS_WIDTH = 64
 """Most daemons told at once of a new configuration; they tell others."""
 
@@ -132,10 +145,28 @@
         """Handle a datagram whose head was read."""
         raise NotImplementedError
 
-    def rosters(self, body: bytes) -> dict[str, list[list[Any]]]:
-        """Read the body of a roster; a malformed one is counted and empty."""
+    def rosters(self, body: bytes) -> dict[str, list[Row]]:
+        """Read the body of a roster; what is malformed is counted and left out."""
         fields = tunnel.decode_control(body)
         if fields is None:
             self.log.count("datagrams.malformed")
             return {}
-        return fields
+        rows_by_service: dict[str, list[Row]] = {}
+        for service, rows in fields.items():
+            read = [_row(row) for row in rows] if isinstance(rows, list) else [None]
+            rows_by_service[service] = [row for row in read if row is not None]
+            if None in read:
+                self.log.count("datagrams.malformed")
+        return rows_by_service
+
+
+def _row(fields: Any) -> Row | None:
+    """Read a row of a roster; None if it is malformed.
+
+    What goes wrong without the check: a daemon of another version tells rows of
+    another shape, and each of its datagrams ends in an exception.
+    """
+    match fields:
+        case [str(address), int(zone), (int() | float() | None) as age]:
+            return Row(address, zone, age)
+    return None
--- a/packages/zinniahook-testkit/tests/test_packets.py
+++ b/packages/zinniahook-testkit/tests/test_packets.py
@@ -2,6 +2,7 @@
 
 import pytest
 from packet_stories import SEEDS, asked, opened
+from zinniahook_core.packets.tunnel import Head, Kind, encode, tag
 from zinniahook_testkit.packetworlds import PacketWorld
 
 
@@ -261,3 +262,45 @@
         world.run(0.2)
         assert flow.state == "reset"
         assert all(not agent.target.openings for agent in ledger)
+
+
+class TestGoneAgent:
+    """Symptom: flows of an agent that is gone are never reset.
+
+    Sequence: an agent ends for good; its peers go on telling each other of it.
+    Cause: each takes the other's word for a sign of life.
+    """
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_nobody_hears_it_from_others(self, seed):
+        world = PacketWorld(seed)
+        gone, *others = world.agents_by_address.values()
+        gone.core = gone.target = None
+        for _ in range(60):
+            for agent in others:
+                for peer in others:
+                    agent.core.hello(world.now, peer.address)
+            world.run(0.1)
+        assert not any(a.core.roster.may_hold_unseen(world.now) for a in others)
+
+
+class TestMalformedRosters:
+    """Symptom: a daemon handles no datagram of another version's daemon.
+
+    Sequence: that one tells rows of another shape. Cause: an exception while a
+    datagram is read.
+    """
+
+    @pytest.mark.parametrize(
+        "body",
+        [b"[]", b"{", b'{"tally":3}', b'{"tally":[["10.0.0.9"]]}', b'{"tally":[3,[]]}'],
+    )
+    def test_are_counted_and_left_out(self, body):
+        world = PacketWorld(1)
+        raw = encode(Head(Kind.ROSTER, service=tag("tally")), body)
+        agent = next(iter(world.agents_by_address.values())).core
+        entry = next(iter(world.entries_by_address.values()))
+        for core in (agent, entry):
+            core.receive(world.now, "10.0.2.2", raw)
+            assert world.log.counts["datagrams.malformed"]
+        assert "10.0.0.9" not in agent.roster.by_address
