Pass over log lines of other types in explain

Found by trying it with odd input: a line whose time is text, or whose flow is a list, ended zinniahook explain in a traceback. Lines are checked as they are read.

--- a/packages/zinniahook-cli/src/zinniahook_cli/explanations.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/explanations.py
@@ -40,6 +40,10 @@
 shown: a process runs again, and a target beats, in less."""
 
 BEGINNINGS = frozenset(("flow.placed", "request.begun"))
+REQUIRED = frozenset(("instance", "event"))
+TEXTS = ("instance", "event", "flow", "request", "agent", "to", "address")
+"""Fields that lines are found and ordered by."""
+
 SHOWN_ELSEWHERE = ("time", "instance", "event", "flow")
 
 
@@ -187,9 +191,22 @@
         return None
     try:
         fields = json.loads(text[start:])
-        return Line(str(fields["instance"]), place, fields | {"event": fields["event"]})
-    except (ValueError, KeyError, TypeError):
+    except ValueError:
         return None
+    return Line(fields["instance"], place, fields) if _is_line(fields) else None
+
+
+def _is_line(fields: Any) -> bool:
+    """Tell whether what is read here has the types that a daemon writes.
+
+    What goes wrong without the check: another program's JSON, or a line that
+    was cut and joined with the next, ends the whole explanation.
+    """
+    if not isinstance(fields, dict) or not REQUIRED <= fields.keys():
+        return False
+    if not isinstance(fields.get("time", 0.0), int | float):
+        return False
+    return all(isinstance(fields.get(name, ""), str) for name in TEXTS)
 
 
 def explained(name: str, lines: list[Line]) -> Explanation:
--- a/packages/zinniahook-cli/tests/test_explanations.py
+++ b/packages/zinniahook-cli/tests/test_explanations.py
@@ -95,6 +95,33 @@
         lines = explanations.read(written(tmp_path, owner=odd))
         assert [each.event for each in lines] == ["request.begun"]
 
+    @pytest.mark.parametrize(
+        "odd",
+        [
+            {"time": "noon"},
+            {"time": None},
+            {"flow": ["x"]},
+            {"agent": [1]},
+            {"to": {}},
+            {"event": ["e"]},
+            {"instance": 3},
+            {"request": {}},
+            {"address": []},
+        ],
+    )
+    def test_lines_with_other_types_are_passed_over(self, tmp_path, odd):
+        """Symptom: a traceback instead of an explanation.
+
+        Sequence: one line among thousands is another program's. Cause: its
+        fields were used as if a daemon had written them.
+        """
+        fields = {"time": 1, "instance": "a", "event": "returned", "flow": FLOW}
+        path = tmp_path / "odd.log"
+        path.write_text("\n".join([json.dumps(fields | odd), *OWNER]) + "\n")
+        found = explanations.explained("r1", explanations.read([path]))
+        assert found.deciding.event == "request.answered"
+        assert {line.instance for line in found.lines} == {"owner"}
+
     def test_an_unknown_id_has_its_code(self, tmp_path):
         with pytest.raises(ZinniahookError) as caught:
             explanations.explained("r9", explanations.read(written(tmp_path, a=OWNER)))
