--- a/packages/zinniahook-cli/src/zinniahook_cli/explanations.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/explanations.py
@@ -202,7 +202,7 @@
     What goes wrong without the check: another program's JSON, or a line that
     was cut and joined with the next, ends the whole explanation.
     """
-    if not isinstance(fields, dict) or not REQUIRED <= fields.keys():
+    if not isinstance(fields, dict) or not fields.keys() >= REQUIRED:
         return False
     if not isinstance(fields.get("time", 0.0), int | float):
         return False
