--- a/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
@@ -196,6 +196,9 @@
         """Ask one of several services for the owner of a flow."""
         while question := self.questions.next(now, packet, services):
             service, marks = question
+            if packet.is_bare and not marks & Mark.KNOWN:
+                self.log.count("packets.not_searched")
+                return
             if self._forward_home(now, packet, service, marks, head):
                 return
             self.questions.unowned(now, packet, service, marks | Mark.UNSURE)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
@@ -247,6 +247,8 @@
             self._searches.give_back(now, head, packet, Mark.NONE)
         elif head.marks & Mark.KNOWN:
             self._searches.give_back(now, head, packet, Mark.UNSURE)
+        elif packet.is_bare:
+            self.node.log.count("packets.not_searched")
         else:
             self._searches.begin(now, head, packet)
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/models.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/models.py
@@ -63,6 +63,18 @@
         """Whether a client sends it to open the flow."""
         return bool(self.flags & Flag.OPENING) and not self.flags & Flag.ACKNOWLEDGES
 
+    @property
+    def is_bare(self) -> bool:
+        """Whether it does nothing but acknowledge.
+
+        It isn't worth a search. Its target repeats what isn't acknowledged, its
+        agent sees that, and the owner is known. What goes wrong with a search:
+        it is the last packet for a while, only other targets get it, and the
+        flow seems to have strayed.
+        """
+        changes = Flag.OPENING | Flag.CLOSING | Flag.RESET
+        return not self.length and not self.flags & changes
+
 
 class State(enum.IntEnum):
     """What an agent says of itself and its target."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/questions.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/questions.py
@@ -18,8 +18,11 @@
 __all__ = ["Question", "Questions"]
 
 KNOWN_PATIENCE = 0.15
-"""Seconds until the next service is asked though a home hasn't told whether it
-knows the owner: below the 0.2 s after which a client repeats its packet."""
+"""Seconds until another home is asked first though one hasn't answered: below the
+0.2 s after which a client repeats its packet. No answer doesn't mean that it
+doesn't know: it has passed the packet on, and the way to the owner may be cut.
+What goes wrong if it does: the other services are searched, and their targets
+get packets of a flow whose owner is known."""
 
 SEARCH_PATIENCE = 0.35
 """The same for a search: above the 0.2 s in which an agent finds out that its
@@ -93,7 +96,6 @@
         """Return whom to ask with a packet, None if nobody is left."""
         asked = self._get(now, packet)
         if len(services) > 1:
-            self._note_silence(now, asked)
             known = self._left(services, asked.unknowing_at(now) | asked.denied)
             if known:
                 asked.last_known = _turn(now, asked.last_known, known, KNOWN_PATIENCE)
@@ -104,18 +106,9 @@
         asked.last_search = _turn(now, asked.last_search, left, SEARCH_PATIENCE)
         return Question(asked.last_search.service, Mark.SHARED)
 
-    def _note_silence(self, now: float, asked: _Asked) -> None:
-        """Take a home that hasn't answered as one that doesn't know."""
-        service, at = asked.last_known
-        if service and now - at >= KNOWN_PATIENCE:
-            asked.unknowing[service] = now
-            asked.last_known = NOBODY
-
     def unowned(self, now: float, packet: Packet, service: str, marks: int) -> None:
         """Take that a service has given a packet back."""
         asked = self._get(now, packet)
-        if marks & Mark.KNOWN and asked.last_known.service == service:
-            asked.last_known = NOBODY
         if not marks & Mark.UNSURE:
             asked.denied.add(service)
         elif marks & Mark.KNOWN:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
@@ -56,6 +56,12 @@
 
 SEARCHES_LIMIT = 4096
 
+GIVE_BACK_AFTER = 0.25
+"""Seconds of a search after which packets go to other services that may own the
+flow: above the 0.2 s in which an agent finds out that its target holds it. What
+goes wrong without: one target is down, its agent has no verdict for 1.5 s, and
+the service that owns the flow isn't asked."""
+
 RELAY_AFTER = 0.1
 """Seconds of a search after which agents that haven't answered are asked by way
 of a peer: two questions got lost, or the link to them is cut."""
@@ -204,6 +210,8 @@
         self._ask(now, search, search.waiting - {self.node.address})
         if now - search.begun >= RELAY_AFTER:
             self._ask_by_peers(now, search)
+        if now - search.begun >= GIVE_BACK_AFTER:
+            self._let_others_be_asked(now, flow, search)
         if now - search.waved_at >= WAVE_PATIENCE:
             self._go_on(now, flow, search)
 
@@ -246,7 +254,12 @@
         # An agent that is silent may be cut off from here only and hold it.
         if not self.roster.may_hold_unseen(now):
             self._conclude(now, flow, search)
-        elif not self._is_alone(now, search.head, flow):
+        else:
+            self._let_others_be_asked(now, flow, search)
+
+    def _let_others_be_asked(self, now: float, flow: bytes, search: Search) -> None:
+        """Give packets back while a search goes on, if others may own the flow."""
+        if not self._is_alone(now, search.head, flow):
             self._give_back_all(now, search, Mark.UNSURE)
 
     def _ask(self, now: float, search: Search, names: Iterable[str]) -> None:
--- a/packages/zinniahook-testkit/tests/test_packet_machine.py
+++ b/packages/zinniahook-testkit/tests/test_packet_machine.py
@@ -205,3 +205,75 @@
         machine.open_flows(count=8, route=3)
         machine.restart_every_process(moment=0.7)
         machine.teardown()
+
+    def test_a_service_with_a_dead_target_does_not_keep_packets_from_others(self):
+        """Symptom: a flow's packets reach five other targets for 2.5 s and none
+        its own. Sequence: a route gets a new service, everything restarts, a
+        target of the new service is down. Cause: the search there waited for
+        the agent of the dead target, and the former service wasn't asked.
+        """
+        machine = PacketMachine()
+        machine.begin(loss=0.02, seed=1348)
+        machine.drain_a_target(index=1)
+        machine.ask(seconds=0.02)
+        machine.cut_an_entry_from_an_agent(one=89, other=59, pause=0.1)
+        machine.restart_every_process(moment=0.3)
+        machine.change_the_split(weights={"tally": 1.0, "ledger": 0.0})
+        machine.cut_two_agents(one=60, other=57, pause=2.5)
+        machine.crash_a_target(index=24, pause=2.5)
+        machine.restart_an_entry(index=38)
+        machine.restart_an_entry(index=100)
+        machine.crash_a_target(index=17, pause=2.5)
+        machine.restart_an_entry(index=4)
+        machine.crash_a_target(index=45, pause=0.1)
+        machine.restart_every_process(moment=0.05)
+        machine.restart_an_entry(index=47)
+        machine.cut_an_entry_from_an_agent(one=33, other=80, pause=0.1)
+        machine.nothing_is_broken()
+        machine.teardown()
+
+    def test_no_answer_from_a_home_does_not_mean_that_it_does_not_know(self):
+        """Symptom: packets of a flow reach four other targets and none its own.
+        Sequence: a home and an owner are cut off from each other, a packet of a
+        split route comes to an entry without a hint. Cause: the home passed it
+        on in vain, and its silence passed for not knowing the owner.
+        """
+        machine = PacketMachine()
+        machine.begin(loss=0.0, seed=84)
+        machine.cut_two_agents(one=59, other=43, pause=1.0)
+        machine.restart_every_process(moment=0.3)
+        machine.cut_two_agents(one=36, other=57, pause=2.5)
+        for moment in (0.05, 0.05, 0.02, 0.3):
+            machine.restart_every_process(moment=moment)
+        machine.cut_two_agents(one=84, other=71, pause=0.5)
+        machine.ask(seconds=0.2)
+        machine.cut_two_agents(one=82, other=93, pause=1.0)
+        machine.ask(seconds=3.0)
+        machine.nothing_is_broken()
+        machine.teardown()
+
+    def test_an_acknowledgement_alone_is_not_searched_for(self):
+        """Symptom: a flow's last packet reaches five other targets and not its
+        own. Sequence: every process restarts, the owner is found by way of one
+        home, the client acknowledges by way of another. Cause: the second home
+        searched for what its target doesn't wait for.
+        """
+        machine = PacketMachine()
+        machine.begin(loss=0.0, seed=8897)
+        machine.ask(seconds=1.0)
+        machine.restart_every_process(moment=0.3)
+        machine.ask(seconds=0.02)
+        machine.add_an_agent()
+        machine.crash_a_target(index=66, pause=0.5)
+        machine.add_an_agent()
+        machine.ask(seconds=0.2)
+        machine.add_an_agent()
+        machine.add_an_agent()
+        machine.restart_an_entry(index=52)
+        machine.restart_an_entry(index=82)
+        machine.crash_a_target(index=20, pause=1.0)
+        machine.open_flows(count=12, route=3)
+        machine.cut_two_agents(one=11, other=79, pause=0.5)
+        machine.restart_every_process(moment=0.1)
+        machine.nothing_is_broken()
+        machine.teardown()
