Repeat a question for a flow's owner, and wait for the own target first

Cause: two examples of the state machine. A home whose own target was on trial asked others after 0.1 s, while a target's verdict takes two rounds, up to 0.2 s. A lost question to the service that owned a flow waited for the client, which repeats a packet after 1.6 s at the longest; other targets had got it. Change: the next wave after 0.22 s, counted from the own trial too; an entry repeats a question that has no answer after 0.3 s, twice at most.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
@@ -55,6 +55,25 @@
 NEIGHBOURS_WITHIN = 10.0
 
 
+REPEAT_AFTER = 0.3
+"""Seconds without an answer after which an entry asks again for a flow's owner:
+above the time after which a search gives packets back. What goes wrong without:
+the question to the service that owns the flow gets lost, its client repeats the
+packet after 1.6 s only, and until then other targets alone have seen it."""
+
+REPEATS = 2
+REPEATED_PER_TICK = 256
+UNANSWERED_LIMIT = 4096
+
+
+class _Unanswered(NamedTuple):
+    """A packet with which a service was asked for its flow's owner."""
+
+    at: float
+    packet: Packet
+    repeats: int
+
+
 class _Held(NamedTuple):
     """A packet that was sent to an agent nothing was heard of yet."""
 
@@ -82,6 +101,7 @@
         self.last_client_at = float("-inf")
         self._held_by_agent: dict[str, list[_Held]] = {}
         self._held = 0
+        self._unanswered: dict[bytes, _Unanswered] = {}
         self._kept_alive_at = float("-inf")
 
     @property
@@ -145,6 +165,7 @@
         for address in self._held_by_agent:
             self.hello(now, address)
         self._drop_held(now)
+        self._ask_again(now)
         if now - self._kept_alive_at >= KEEP_ALIVE_EVERY:
             self._kept_alive_at = now
             for address in self.neighbours(now)[:KEEP_ALIVE_WIDTH]:
@@ -176,7 +197,7 @@
             return
         if packet.is_opening:
             self.hints_by_flow.pop(packet.flow, None)
-            self.questions.forget(packet.flow)
+            self._forget_questions(packet.flow)
             service = route.services(packet.flow)[0]
             self._forward_home(now, packet, service, Mark.NONE, head)
             return
@@ -200,10 +221,27 @@
                 self.log.count("packets.not_searched")
                 return
             if self._forward_home(now, packet, service, marks, head):
+                self._await_answer(now, packet)
                 return
             self.questions.unowned(now, packet, service, marks | Mark.UNSURE)
         self._unowned(packet, services)
 
+    def _await_answer(self, now: float, packet: Packet) -> None:
+        """Keep a packet until its service has answered, to ask again."""
+        former = self._unanswered.pop(packet.flow, None)
+        repeats = former.repeats if former else 0
+        if not packet.is_bare and len(self._unanswered) < UNANSWERED_LIMIT:
+            self._unanswered[packet.flow] = _Unanswered(now, packet, repeats)
+
+    def _ask_again(self, now: float) -> None:
+        for flow, asked in list(self._unanswered.items())[:REPEATED_PER_TICK]:
+            if now - asked.at < REPEAT_AFTER:
+                break
+            del self._unanswered[flow]
+            if asked.repeats < REPEATS:
+                self._unanswered[flow] = asked._replace(repeats=asked.repeats + 1)
+                self._route(now, asked.packet, None)
+
     def _unowned(self, packet: Packet, services: list[str]) -> None:
         """End a flow that no service holds.
 
@@ -337,10 +375,14 @@
         for flow in flows:
             self.hints_by_flow.pop(flow, None)
             self.hints_by_flow[flow] = owner
-            self.questions.forget(flow)
+            self._forget_questions(flow)
         while len(self.hints_by_flow) > HINTS_LIMIT:
             del self.hints_by_flow[next(iter(self.hints_by_flow))]
 
+    def _forget_questions(self, flow: bytes) -> None:
+        self.questions.forget(flow)
+        self._unanswered.pop(flow, None)
+
     def _returned(self, now: float, sender: str, head: Head, body: bytes) -> None:
         packet = self.codec.from_client(body)
         if packet is not None and head.reason == Reason.UNOWNED:
@@ -360,6 +402,7 @@
         It begins with no hops again: each answer leaves fewer to ask.
         """
         self.hints_by_flow.pop(packet.flow, None)
+        self._unanswered.pop(packet.flow, None)
         services = self.candidates(now, packet.flow)
         service = self._names_by_tag.get(head.service)
         if service not in services:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
@@ -31,9 +31,10 @@
 which a target returns a packet. What goes wrong without: the question to the
 owner gets lost, and only other targets have seen the packet."""
 
-WAVE_PATIENCE = 0.12
+WAVE_PATIENCE = 0.22
 """Seconds until more are asked although some haven't answered: above the time
-in which an agent finds out that its target kept the packet (0.05 s and a tick).
+in which an agent finds out that its target kept the packet twice (twice 0.05 s
+and a tick).
 What goes wrong without: the owner is just about to claim the flow, and three
 more targets get its packet."""
 
@@ -154,6 +155,7 @@
         agents = len(self.roster.present(now)) - 1
         self.node.log.event("search", flow=packet.flow, agents=agents)
         if here is Taken.OPEN:
+            search.waved_at = now
             search.waiting.add(self.node.address)
             return
         self._go_on(now, packet.flow, search)
--- a/packages/zinniahook-testkit/tests/test_packet_machine.py
+++ b/packages/zinniahook-testkit/tests/test_packet_machine.py
@@ -277,3 +277,28 @@
         machine.restart_every_process(moment=0.1)
         machine.nothing_is_broken()
         machine.teardown()
+
+    def test_a_home_waits_for_its_own_target_first(self):
+        """Symptom: three other targets get a packet 4 ms after its own.
+        Sequence: every process restarts, the owner's agent is home itself and
+        tries the packet at its target. Cause: it asked others before a target
+        can have kept a packet twice.
+        """
+        machine = PacketMachine()
+        machine.begin(loss=0.0, seed=2065)
+        machine.add_an_agent()
+        machine.ask(seconds=1.0)
+        machine.cut_an_entry_from_an_agent(one=50, other=4, pause=0.1)
+        machine.open_flows(count=13, route=3)
+        machine.ask(seconds=1.0)
+        machine.cut_an_entry_from_an_agent(one=50, other=4, pause=0.1)
+        machine.open_flows(count=12, route=3)
+        machine.restart_every_process(moment=0.02)
+        machine.open_flows(count=14, route=3)
+        machine.cut_two_agents(one=55, other=24, pause=0.5)
+        machine.add_an_agent()
+        machine.cut_two_agents(one=51, other=80, pause=1.0)
+        machine.open_flows(count=1, route=1)
+        machine.ask(seconds=3.0)
+        machine.nothing_is_broken()
+        machine.teardown()
