Tell where openings and answers are late, by seconds and causes

Cause: what binds in the worst seconds was found with throw-away scripts over the logs. Change: zinniahook losses reads the packet service's logs and tells, for each second, how many openings were copies, followed a reset or were retries, how many were late or in vain, searches, resets, and the targets' times.

--- /dev/null
+++ b/packages/zinniahook-cli/src/zinniahook_cli/losses.py
@@ -0,0 +1,222 @@
+"""``zinniahook losses``: second by second, where openings and answers are late.
+
+Reads the packet service's logs. For each second it tells how many openings
+came and for what reason, how many were opened, late or in vain, which searches
+and resets there were, and how long targets took. Logs leave lines out under
+load (``omitted``), so the counts of the worst seconds are lower bounds.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import NamedTuple
+
+from zinniahook_core.codes import ZinniahookError
+
+from .answers import Answer, Status, status_of
+from .explanations import Line, read
+from .tables import Table
+
+__all__ = ["losses", "measured"]
+
+AFTER_RESET = 0.05
+"""Seconds within which an opening of a client follows the reset of its flow: two
+trips to the client and its own time."""
+
+RETRY = (1.3, 1.5)
+"""Seconds after which a client tries again whose opening waited in vain: it gives
+a try 1.4 s."""
+
+COLUMNS = (
+    "second",
+    "openings",
+    "copies",
+    "after reset",
+    "retries",
+    "opened",
+    "late",
+    "in vain",
+    "searches",
+    "resets",
+    "answers",
+    "median",
+    "ninth tenth",
+)
+
+
+class Opening(NamedTuple):
+    """The first placement of a flow, and when it was opened, if it was."""
+
+    at: float
+    client: str
+    copy: int
+    opened_at: float | None
+
+
+class History(NamedTuple):
+    """What the clients' openings are compared with."""
+
+    openings_by_client: dict[str, list[Opening]]
+    resets_by_client: dict[str, list[float]]
+
+
+Cause = Callable[[Opening, History], bool]
+CAUSES_BY_COLUMN: dict[str, Cause] = {}
+"""Why an opening isn't a caller's first, by the column that counts it."""
+
+
+def cause(column: str) -> Callable[[Cause], Cause]:
+    """Register what tells a cause."""
+
+    def register(tells: Cause) -> Cause:
+        CAUSES_BY_COLUMN[column] = tells
+        return tells
+
+    return register
+
+
+@cause("copies")
+def _is_copy(opening: Opening, history: History) -> bool:
+    return opening.copy > 0
+
+
+@cause("after reset")
+def _follows_reset(opening: Opening, history: History) -> bool:
+    resets = history.resets_by_client.get(opening.client, ())
+    return any(0 <= opening.at - at < AFTER_RESET for at in resets)
+
+
+@cause("retries")
+def _is_retry(opening: Opening, history: History) -> bool:
+    """Tell whether the client's former try was never opened."""
+    return any(
+        former.opened_at is None and RETRY[0] < opening.at - former.at < RETRY[1]
+        for former in history.openings_by_client[opening.client]
+    )
+
+
+def measured(lines: Iterable[Line], goal: float) -> Table:
+    """Return the table of losses.
+
+    Parameters
+    ----------
+    lines : iterable of Line
+        Lines of all daemons, whose clocks must agree within a second.
+    goal : float
+        Seconds until an opening counts as late.
+    """
+    lines = sorted(lines, key=lambda line: line.time)
+    start = lines[0].time if lines else 0.0
+    openings = _openings(lines)
+    history = _history(lines, openings)
+    counts_by_second: dict[int, Counter[str]] = defaultdict(Counter)
+    for opening in openings.values():
+        counts = counts_by_second[int(opening.at - start)]
+        counts["openings"] += 1
+        counts["opened"] += opening.opened_at is not None
+        waited = (opening.opened_at or opening.at) - opening.at
+        counts["late"] += waited > goal
+        column = next(
+            (c for c, t in CAUSES_BY_COLUMN.items() if t(opening, history)), ""
+        )
+        counts[column] += 1
+    times_by_second: dict[int, list[float]] = defaultdict(list)
+    for line in lines:
+        second = int(line.time - start)
+        column = COLUMNS_BY_EVENT.get(line.event)
+        if column:
+            counts_by_second[second][column] += 1
+        if line.event == "request.answered":
+            times_by_second[second].append(_number(line, "took"))
+    rows = [
+        _row(second, counts_by_second[second], sorted(times_by_second[second]))
+        for second in sorted({*counts_by_second, *times_by_second})
+    ]
+    return Table(COLUMNS, tuple(rows))
+
+
+COLUMNS_BY_EVENT = {
+    "drop.waited": "in vain",
+    "search": "searches",
+    "reset.no_owner": "resets",
+    "reset.target_ended": "resets",
+    "reset.lost_by_target": "resets",
+    "request.answered": "answers",
+}
+
+
+def _row(second: int, counts: Counter[str], times: list[float]) -> tuple:
+    middle = times[len(times) // 2] if times else 0.0
+    tenth = times[len(times) * 9 // 10] if times else 0.0
+    return (
+        second,
+        *(counts[c] for c in COLUMNS[1:-2]),
+        round(middle, 3),
+        round(tenth, 3),
+    )
+
+
+def _openings(lines: list[Line]) -> dict[str, Opening]:
+    """Return the openings by flow, in the order of their first placement."""
+    opened_by_flow: dict[str, float] = {}
+    by_flow: dict[str, Opening] = {}
+    for line in lines:
+        flow = line.fields.get("flow", "")
+        if line.event == "flow.opened":
+            opened_by_flow.setdefault(flow, line.time)
+        elif line.event == "flow.placed" and flow not in by_flow:
+            copy = int(_number(line, "copy"))
+            by_flow[flow] = Opening(line.time, _client(flow), copy, None)
+    return {
+        flow: opening._replace(opened_at=opened_by_flow.get(flow))
+        for flow, opening in by_flow.items()
+    }
+
+
+def _history(lines: list[Line], openings: dict[str, Opening]) -> History:
+    history = History(defaultdict(list), defaultdict(list))
+    for opening in openings.values():
+        history.openings_by_client[opening.client].append(opening)
+    for line in lines:
+        if COLUMNS_BY_EVENT.get(line.event) == "resets":
+            client = _client(line.fields.get("flow", ""))
+            history.resets_by_client[client].append(line.time)
+    return history
+
+
+def _client(flow: str) -> str:
+    return flow.partition(":")[0]
+
+
+def _number(line: Line, name: str) -> float:
+    value = line.fields.get(name)
+    return value if isinstance(value, int | float) else 0.0
+
+
+def losses(*, logs: list[Path], goal: float = 0.2, json: bool = False) -> int:
+    """Tell from the logs where openings and answers are late, by seconds.
+
+    Parameters
+    ----------
+    logs
+        Log files of the daemons.
+    goal
+        Seconds after which an opening counts as late.
+    json
+        Print one JSON object.
+
+    Returns
+    -------
+    int
+        Status of the process.
+    """
+    try:
+        answer = Answer(table=measured(read(logs), goal))
+    except ZinniahookError as error:
+        print(f"{error.code.name} {int(error.code)}: {error}", file=sys.stderr)
+        return status_of(error.code)
+    print(answer.as_json() if json else answer.as_text(), flush=True)
+    return Status.OK
--- a/packages/zinniahook-cli/src/zinniahook_cli/main.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/main.py
@@ -15,6 +15,7 @@
 from .answers import Answer, Status, status_of
 from .explanations import explain
 from .grammar import CommandError
+from .losses import losses
 from .sessions import Session
 from .settings import ClientSettings, SettingsError, load
 from .statements import Abort, Begin, Commit, Statement
@@ -22,15 +23,18 @@
 __all__ = ["evaluate", "main", "zinniahook"]
 
 
+READERS_BY_WORD = {"explain": explain, "losses": losses}
+
+
 def main(argv: list[str] | None = None) -> None:
     """Run ``zinniahook`` with the arguments of the process.
 
-    ``explain`` reads logs and needs neither store nor settings, so that it
-    works on an engineer's own machine; everything else is statements.
+    ``explain`` and ``losses`` read logs and need neither store nor settings, so
+    that they work on an engineer's own machine; everything else is statements.
     """
     words = sys.argv[1:] if argv is None else argv
-    if words[:1] == ["explain"]:
-        sys.exit(defopt.run(explain, argv=words[1:]))
+    if words and (reader := READERS_BY_WORD.get(words[0])):
+        sys.exit(defopt.run(reader, argv=words[1:]))
     sys.exit(defopt.run(zinniahook, argv=words))
 
 
