--- a/packages/zinniahook-cli/src/zinniahook_cli/losses.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/losses.py
@@ -115,14 +115,7 @@
     counts_by_second: dict[int, Counter[str]] = defaultdict(Counter)
     for opening in openings.values():
         counts = counts_by_second[int(opening.at - start)]
-        counts["openings"] += 1
-        counts["opened"] += opening.opened_at is not None
-        waited = (opening.opened_at or opening.at) - opening.at
-        counts["late"] += waited > goal
-        column = next(
-            (c for c, t in CAUSES_BY_COLUMN.items() if t(opening, history)), ""
-        )
-        counts[column] += 1
+        _count(opening, history, goal, counts)
     times_by_second: dict[int, list[float]] = defaultdict(list)
     for line in lines:
         second = int(line.time - start)
@@ -138,6 +131,19 @@
     return Table(COLUMNS, tuple(rows))
 
 
+def _count(
+    opening: Opening, history: History, goal: float, counts: Counter[str]
+) -> None:
+    counts["openings"] += 1
+    counts["opened"] += opening.opened_at is not None
+    waited = (opening.opened_at or opening.at) - opening.at
+    counts["late"] += waited > goal
+    for column, tells in CAUSES_BY_COLUMN.items():
+        if tells(opening, history):
+            counts[column] += 1
+            return
+
+
 COLUMNS_BY_EVENT = {
     "drop.waited": "in vain",
     "search": "searches",
