--- a/packages/zinniahook-testkit/tests/test_packet_machine.py
+++ b/packages/zinniahook-testkit/tests/test_packet_machine.py
@@ -357,3 +357,29 @@
         machine.drain_a_target(index=73)
         machine.nothing_is_broken()
         machine.teardown()
+
+    def test_an_agent_that_was_heard_for_a_moment_only(self):
+        """Symptom: flows of a living target are reset 1.2 s after everything
+        was restarted. Sequence: its agent runs for 0.05 s, tells of no target
+        yet, and is away for 2.5 s. Cause: who never told of a target passes
+        for gone after 1.2 s, unless most are silent. Open.
+        """
+        machine = PacketMachine()
+        machine.begin(loss=0.0, seed=256)
+        machine.drain_a_target(index=79)
+        machine.restart_every_process(moment=0.05)
+        machine.cut_an_entry_from_an_agent(one=15, other=35, pause=0.5)
+        machine.add_an_agent()
+        machine.drain_a_target(index=4)
+        machine.ask(seconds=0.02)
+        machine.restart_an_agent(index=90, pause=2.5)
+        machine.drain_a_target(index=7)
+        machine.change_the_split(weights={"ledger": 1.0})
+        machine.cut_an_entry_from_an_agent(one=74, other=75, pause=1.0)
+        machine.cut_an_entry_from_an_agent(one=97, other=100, pause=2.5)
+        machine.add_an_agent()
+        machine.change_the_split(weights={"tally": 1.0})
+        machine.drain_a_target(index=7)
+        machine.change_the_split(weights={"ledger": 1.0})
+        machine.nothing_is_broken()
+        machine.teardown()
