Don't close a connection that has no path yet

Change: a connection that never began is dropped without a farewell, so the call tries again. The test fails first with the same IndexError. Measured: the new test fails without the change, passes with it.

--- a/packages/zinniahook-caller/src/zinniahook_caller/connections.py
+++ b/packages/zinniahook-caller/src/zinniahook_caller/connections.py
@@ -198,6 +198,7 @@
         super().__init__(quic)
         self.moves = 0
         self.lost = False
+        self._begun = False
         self._h3 = _Http3(quic)
         self._silence = silence
         self._heard_at = self._loop.time()
@@ -235,6 +236,7 @@
         self._remote = remote
         await self._bind()
         self.connect(remote)
+        self._begun = True
         try:
             await self.wait_connected()
         except BaseException:
@@ -305,10 +307,15 @@
         self.transmit()
 
     def shut(self, reason: str = "closed") -> None:
-        """Close at once; what is still due fails."""
+        """Close at once; what is still due fails.
+
+        One that was given up before it began has no path to say so on. What goes
+        wrong without the check: the caller's call ends with an IndexError of the
+        QUIC library instead of another try.
+        """
         if self._watchdog is not None:
             self._watchdog.cancel()
-        if not self.lost:
+        if self._begun and not self.lost:
             self.close()
         self._lose(ConnectionLostError(reason))
         if self._transport is not None:
--- a/packages/zinniahook-caller/tests/test_sessions.py
+++ b/packages/zinniahook-caller/tests/test_sessions.py
@@ -16,6 +16,7 @@
     Silence,
     UnknownOutcomeError,
 )
+from zinniahook_caller.adapters import Http3Adapter, Options
 from zinniahook_caller.connections import WINDOW
 
 QUICK = Backoff(base=0.001, limit=0.01)
@@ -388,3 +389,18 @@
     server.datagram_received = lambda data, addr: (
         None if addr in silent else receive(data, addr)
     )
+
+
+class TestConnectionGivenUpBeforeItBegan:
+    """Symptom: a call ends with an IndexError while the machine is busy.
+    Sequence: the time to connect passes while the socket is being opened.
+    Cause: the connection was closed though it had no path yet.
+    """
+
+    def test_the_caller_hears_of_no_connection(self):
+        async def check():
+            options = Options("127.0.0.1", 9, connect_timeout=0.0)
+            with pytest.raises(ConnectError):
+                await Http3Adapter(options)._connect()
+
+        asyncio.run(check())
