Take only the first acknowledgement for a target that wasn't chosen yet

Cause: copies of an opening are answered by two targets; the client's next packet passed for the wrong one's if their numbers lay within 16 MB of each other, one pair in 256, and when that returned it, its agent reset the flow as lost. Change: until the client has chosen, its number must lie within 1,024 of the target's first one, as a target sends nothing before.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
@@ -15,6 +15,11 @@
 that close after the target's first number. Another target's random number
 passes by chance once in 256 times."""
 
+OPENING_WINDOW = 1 << 10
+"""The same until the client has chosen: a target sends nothing before, so the
+client acknowledges its first number alone. Another target's number passes once
+in four million times."""
+
 IDLE_SLACK = 5.0
 CLOSED_KEPT = 3.0
 """Seconds that a closed flow stays known, for repeated last packets: a client
@@ -82,11 +87,13 @@
         """Tell whether a client's packet can belong to this target's flow.
 
         What goes wrong without: two targets answered copies of one opening,
-        the client chose the other one, and this one swallows its packets.
+        the client chose the other one, and this one swallows its packets, or
+        returns them and passes for one that has lost the flow: a reset ends it.
         """
         if self.first is None:
             return self.standing is not Standing.OFFERED
-        return (acknowledged - self.first) % SEQUENCE_SPAN <= WINDOW
+        window = OPENING_WINDOW if self.standing is Standing.OFFERED else WINDOW
+        return (acknowledged - self.first) % SEQUENCE_SPAN <= window
 
 
 class Gauge:
--- a/packages/zinniahook-testkit/tests/test_packets.py
+++ b/packages/zinniahook-testkit/tests/test_packets.py
@@ -2,6 +2,7 @@
 
 import pytest
 from packet_stories import SEEDS, asked, opened
+from zinniahook_core.packets.flows import Flow, Standing
 from zinniahook_core.packets.tunnel import Head, Kind, encode, tag
 from zinniahook_testkit.packetworlds import PacketWorld
 
@@ -172,6 +173,36 @@
         assert world.findings() == []
 
 
+class TestTwoTargetsThatAnswered:
+    """Symptom: a flow is reset some milliseconds after it opened.
+
+    Sequence: two targets answer copies of one opening, the client chooses one,
+    its next packet comes to the other one's agent by way of a hint. Cause: the
+    numbers of the two lay near each other, as one pair in 256 does, so that the
+    packet passed for the wrong target's; that returned it, and its agent ended
+    the flow as lost.
+    """
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("distance", [1 << 12, 1 << 20, (1 << 24) - 8])
+    def test_the_one_that_was_not_chosen_leaves_the_flow_alone(self, seed, distance):
+        world = PacketWorld(seed)
+        (flow,) = opened(world, 1)
+        other = next(
+            agent
+            for agent in world.agents_by_address.values()
+            if flow.key not in agent.target.by_flow
+        )
+        near = (flow.server_first - distance) % (1 << 32)
+        held = Flow(flow.key, Standing.OFFERED, world.now, "", first=near)
+        other.core.flows.add(held)
+        for entry in world.entries_by_address.values():
+            entry.hints_by_flow[flow.key] = other.address
+        assert asked(world, [flow]) == [1]
+        assert world.resets == []
+        assert world.foreign == []
+
+
 class TestFullTargets:
     """Symptom: a client waits for 1.4 s though no target can take it.
 
