Keep an opening that has passed as many daemons as it may

Cause: an agent took such an opening from its queue to hand it on, and the move did nothing: the opening was lost until its client repeated it. Change: it stays in the queue. Measured: the test fails without the change.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/openings.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/openings.py
@@ -8,7 +8,7 @@
 from .members import Member, Roster
 from .membership import Membership
 from .models import Packet, State, Urgency, route_key
-from .node import Node
+from .node import HOP_LIMIT, Node
 from .target import ANSWER_TIMEOUT, Target
 from .tunnel import Head, Kind, Reason, tag
 from .waiting import QUEUE_EXTRA, Opening, Waiting
@@ -99,7 +99,7 @@
     def admit(self, now: float) -> None:
         """Offer waiting openings while the target has room."""
         while self._has_room:
-            opening = self.waiting.take(now, self._target.answer_time)
+            opening = self._next(now)
             if opening is None:
                 return
             reason = self.take(now, opening.home, opening.head, opening.packet)
@@ -140,17 +140,27 @@
         return flow
 
     def _move(self, now: float) -> None:
-        """Hand waiting openings to peers that have free slots."""
+        """Hand waiting openings to peers that have free slots.
+
+        One that has passed as many daemons as it may stays. What goes wrong
+        without: it is taken from the queue, can't be sent, and is lost.
+        """
         free = [
             member
             for member in self.home.roster.takers(now, (self._node.address,))
             if member.has_room
         ]
-        while free and len(self.waiting):
-            opening = self.waiting.take(now, self._target.answer_time)
-            if opening is None:
-                return
-            free = self.home.move(now, opening.head, opening.packet, free)
+        stay: list[Opening] = []
+        while free and (opening := self._next(now)) is not None:
+            if opening.head.hops >= HOP_LIMIT:
+                stay.append(opening)
+            else:
+                free = self.home.move(now, opening.head, opening.packet, free)
+        for opening in stay:
+            self.waiting.put(opening)
+
+    def _next(self, now: float) -> Opening | None:
+        return self.waiting.take(now, self._target.answer_time)
 
     def _check_offered(self, now: float) -> None:
         """Hand openings on that the target leaves without an answer."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/waiting.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/waiting.py
@@ -75,13 +75,17 @@
                 return
             self._drop(known)
         age = COPY_AGES[min(packet.acknowledged, len(COPY_AGES) - 1)]
-        opening = Opening(now - age, home, head, packet, urgency)
-        self._by_flow[packet.flow] = opening
-        flows = self._flows_by_priority.setdefault(urgency.priority, [])
-        bisect.insort(flows, (opening.begun, packet.flow))
+        self.put(Opening(now - age, home, head, packet, urgency))
         if len(self._by_flow) > LIMIT:
             self._drop(min(self._oldest(), key=lambda waiting: waiting.begun))
 
+    def put(self, opening: Opening) -> None:
+        """Let an opening wait, or go on waiting."""
+        flow = opening.packet.flow
+        self._by_flow[flow] = opening
+        flows = self._flows_by_priority.setdefault(opening.urgency.priority, [])
+        bisect.insort(flows, (opening.begun, flow))
+
     def take(self, now: float, usual: float) -> Opening | None:
         """Return the opening to serve next, None if none waits.
 
--- a/packages/zinniahook-testkit/tests/test_packet_overload.py
+++ b/packages/zinniahook-testkit/tests/test_packet_overload.py
@@ -20,9 +20,11 @@
     Urgency,
     openings,
 )
-from zinniahook_core.packets.tunnel import Head, Kind
+from zinniahook_core.packets.node import HOP_LIMIT
+from zinniahook_core.packets.tunnel import Head, Kind, tag
 from zinniahook_core.packets.waiting import Waiting
-from zinniahook_testkit.packetworlds import PacketWorld
+from zinniahook_testkit.packetends import flow_key
+from zinniahook_testkit.packetworlds import SERVICE_PORT, PacketWorld
 
 WORK = 0.1
 RATE = 170
@@ -199,3 +201,22 @@
         assert len(waiting) == 1
         assert len(waiting.clear()) == 1
         assert waiting.take(2.3, 0.0) is None
+
+
+class TestOpeningThatWentRound:
+    """Symptom: an opening that waited for a slot is never answered. Sequence: it
+    is handed from agent to agent until it has passed as many as it may, then a
+    peer has a free slot. Cause: it was taken from the queue to be handed on, and
+    couldn't be.
+    """
+
+    def test_it_waits_on(self):
+        world = PacketWorld(1)
+        agent = next(iter(world.agents_by_address.values())).core
+        key = flow_key("100.64.0.9", 7, "198.18.0.1", SERVICE_PORT)
+        raw = world.codec.write(key, Flag.OPENING, 5, 0)
+        head = Head(Kind.FORWARD, hops=HOP_LIMIT, service=tag("tally"))
+        packet = world.codec.from_client(raw)
+        agent.openings.waiting.add(world.now, "", head, packet, Urgency())
+        agent.openings._move(world.now)
+        assert len(agent.openings.waiting) == 1
