--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -120,12 +120,13 @@
             self._forwarded(now, sender, head, body)
         elif head.kind is Kind.STATUS:
             if self.membership.learn(now, sender, head.service, head.zone, body):
-                self.registry.register_all()
+                self.registry.restarted(sender)
+            self.home.told(now, sender)
         elif head.kind is Kind.ROSTER:
             rows = self.rosters(body).get(self.target.service, [])
             self.membership.learn_members(now, rows)
         elif head.kind is Kind.HELLO:
-            self.membership.greet(now, sender)
+            self.membership.greet(now, sender, head.reason)
         elif head.kind is Kind.RETURN:
             packet = self.codec.from_client(body)
             if packet is not None:
@@ -165,12 +166,19 @@
         self.home.tick(now)
         self.membership.waiting = len(self.openings.waiting)
         self.membership.tick(now)
-        if self.roster.refresh(now):
-            self.log.event("roster", present=self.roster.present(now))
-            self.registry.register_all()
+        if self.roster.is_due(now):
+            self._review(now)
         self.registry.tick(now)
         self.flows.expire(now, self.routes.idle_timeout, EXPIRED_PER_TICK)
 
+    def _review(self, now: float) -> None:
+        """Look over who is present; flows may have other homes now."""
+        changes = self.roster.refresh(now)
+        if not changes:
+            return
+        self.log.event("roster", **changes.told())
+        self.registry.register_all()
+
     def _change_service(self, service: str) -> None:
         """Serve another service: nothing known of the former one holds."""
         self.log.event("service.changed", service=service)
@@ -178,7 +186,13 @@
         self._make_home()
 
     def _make_home(self) -> None:
-        self.home = Home(self, self.roster, self.openings.take, self.trials.begin)
+        self.home = Home(
+            self,
+            self.roster,
+            self.openings.take,
+            self.trials.begin,
+            self.membership.ask,
+        )
         self.openings.home = self.home
         self.registry = Registry(self, self.membership, self.flows, self.home)
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
@@ -18,7 +18,7 @@
 from .models import Codec, Links, Log, Packet, Routes, route_key
 from .node import HOP_LIMIT, Node
 from .questions import Questions
-from .tunnel import Head, Kind, Mark, Reason, tag, zone_tag
+from .tunnel import Head, Kind, Mark, Reason, Wish, tag, zone_tag
 
 __all__ = ["Entry"]
 
@@ -26,6 +26,11 @@
 """Owners remembered: four times the flows of an entry at the size designed
 for (120 million over 7,300), 16 MB."""
 
+GREETED = 16
+"""Agents of a service that an entry asks for their status as it learns of them.
+What goes wrong without: it takes those that have no target for homes, or that
+are gone, until packets are lost there. Of more it learns as it sends to them."""
+
 KEEP_ALIVE_EVERY = 0.5
 """Seconds between hellos to a few agents while no client sends, so that the
 configuration stays fresh here."""
@@ -117,7 +122,10 @@
 
     def members(self, now: float, service: str, address: str, centre: str) -> None:
         """Take an agent that announced itself in the store."""
-        self._roster(service).add(now, address, zone_tag(centre))
+        roster = self._roster(service)
+        if address not in roster.by_address and len(roster.by_address) < GREETED:
+            self.hello(now, address)
+        roster.add(now, address, zone_tag(centre))
 
     def neighbours(self, now: float) -> list[str]:
         """Return the agents heard of lately, in random order."""
@@ -141,7 +149,7 @@
 
     def handle(self, now: float, sender: str, head: Head, body: bytes) -> None:
         """Handle a datagram of an agent or of another entry."""
-        self._heard(now, sender)
+        self._heard(now, sender, head.service)
         if head.kind is Kind.OWNER:
             self._learn_owner(body)
         elif head.kind is Kind.RETURN:
@@ -150,18 +158,17 @@
             self._status(now, sender, head, body)
         elif head.kind is Kind.ROSTER:
             self._learn_members(now, body)
-        elif head.kind is Kind.HELLO:
+        elif head.kind is Kind.HELLO and head.reason == Wish.MEMBERS:
             self.send(now, sender, Kind.ROSTER, tunnel.control(self._rows(now)))
 
     def tick(self, now: float) -> None:
         """Do what time demands; call it about twenty times a second."""
         self.formers.tick(now)
         for roster in self.rosters_by_service.values():
-            if roster.refresh(now):
-                present = roster.present(now)
-                self.log.event("roster", service=roster.service, present=present)
-            for address in roster.probes(now):
+            for address in roster.unanswered(now):
                 self.hello(now, address)
+            if roster.is_due(now):
+                self._review(now, roster)
         for address in self._held_by_agent:
             self.hello(now, address)
         self._drop_held(now)
@@ -171,6 +178,12 @@
             for address in self.neighbours(now)[:KEEP_ALIVE_WIDTH]:
                 self.hello(now, address)
 
+    def _review(self, now: float, roster: Roster) -> None:
+        if changes := roster.refresh(now):
+            self.log.event("roster", service=roster.service, **changes.told())
+        for address in roster.probes(now):
+            self.hello(now, address)
+
     def _roster(self, service: str) -> Roster:
         roster = self.rosters_by_service.get(service)
         if roster is None:
@@ -182,11 +195,13 @@
         rosters = itertools.islice(self.rosters_by_service.items(), ROSTERS_TOLD)
         return {service: roster.rows(now) for service, roster in rosters}
 
-    def _heard(self, now: float, sender: str) -> None:
-        for roster in self.rosters_by_service.values():
-            member = roster.by_address.get(sender)
-            if member is not None:
-                member.heard(now)
+    def _heard(self, now: float, sender: str, service: int) -> None:
+        """Note a sign of life of an agent, in the service that it speaks for."""
+        name = self._names_by_tag.get(service, "")
+        roster = self.rosters_by_service.get(name)
+        member = roster.by_address.get(sender) if roster else None
+        if member is not None:
+            member.heard(now)
 
     # Packets
 
@@ -428,8 +443,13 @@
     def _learn_members(self, now: float, body: bytes) -> None:
         for service, rows in self.rosters(body).items():
             for address, zone, age in rows:
-                if age is None or age < UNANSWERED_AFTER:
-                    self._roster(service).add(now, address, zone)
+                if age is not None and age >= UNANSWERED_AFTER:
+                    continue
+                roster = self._roster(service)
+                member = roster.add(now, address, zone)
+                if age is not None and roster.is_silent(now, member):
+                    # Others hear it: it is back, or only the way was cut.
+                    member.probe_at = now
 
     def _status(self, now: float, sender: str, head: Head, body: bytes) -> None:
         status = tunnel.decode_status(body)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
@@ -12,7 +12,9 @@
 from dataclasses import dataclass, field
 
 from . import placement
-from .members import Member, Roster
+from .inquiries import Inquiries, Inquiry, freshest
+from .member import Member
+from .members import Roster
 from .models import Packet, State
 from .node import HOP_LIMIT, Node
 from .searches import ASKED, Searches, Taken
@@ -25,6 +27,13 @@
 """Seconds a placement is remembered: a client repeats its opening for 1.4 s,
 and may use a port again after seconds."""
 
+ROOM_KEPT = 0.25
+"""Seconds for which a peer's free slot is believed when an opening that waits
+here could go there; a status to each peer of a small service comes in 0.2 s."""
+
+HOME_HEARD_WITHIN = 0.4
+"""Seconds since a home was heard for which packets go there unasked."""
+
 COPY_PATIENCE = 0.15
 """Seconds within which a repeated opening goes to the same agent again: it is
 a duplicate of the network, not a client that waited for 0.2 s."""
@@ -53,6 +62,8 @@
         Offers an opening to this agent's own target.
     search_here : callable
         Tries a packet at this agent's own target, if it might own the flow.
+    ask : callable
+        Asks a peer for its status.
     """
 
     def __init__(
@@ -61,11 +72,14 @@
         roster: Roster,
         open_here: Callable[[float, str, Head, Packet], Reason],
         search_here: Callable[[float, Head, Packet], Taken],
+        ask: Callable[[float, str], None],
     ) -> None:
         self.node = node
         self.roster = roster
         self._open_here = open_here
+        self._ask = ask
         self._searches = Searches(node, roster, search_here)
+        self._inquiries = Inquiries(node.address, node.rng, ask, self._loads_told)
         self.volumes = placement.Volumes()
         self._pointers: dict[bytes, str] = {}
         self._placements: dict[bytes, Placement] = {}
@@ -84,6 +98,9 @@
         if made is None or made.sequence != packet.sequence:
             made = Placement(packet.sequence, now)
             self._placements[packet.flow] = made
+            self._inquiries.forget(packet.flow)
+        if packet.flow in self._inquiries:
+            return
         if made.tried and self._still_good(now, made):
             self._offer(now, head, packet, made, made.tried[-1])
             return
@@ -96,25 +113,29 @@
         agent would only serve it twice.
         """
         again = made.tried[-1]
-        if again in made.refused or again not in self.roster.present(now):
+        if again in made.refused or not self.roster.is_here(now, again):
             return False
         if now - made.at < COPY_PATIENCE or again == self.node.address:
             return True
         member = self.roster.by_address[again]
         return member.heard_at > made.at and member.state is not State.DOWN
 
-    def move(
-        self, now: float, head: Head, packet: Packet, free: list[Member]
-    ) -> list[Member]:
-        """Hand an opening that waits here to a peer; return who is still free."""
+    def move(self, now: float, head: Head, packet: Packet) -> bool:
+        """Hand an opening that waits here to a peer that surely has a free slot."""
+        own = (self.node.address,)
+        free = [
+            member
+            for member in self.roster.takers(now, packet.flow, head.zone, own)
+            if member.has_room and now - member.told_at <= ROOM_KEPT
+        ]
         chosen = self._choose(free, head, packet)
-        if chosen is None or head.hops >= HOP_LIMIT:
-            return []
+        if chosen is None:
+            return False
         made = Placement(packet.sequence, now, [chosen.address])
         self._placements[packet.flow] = made
         self._tell(packet, made, chosen, free)
         self._offer(now, head, packet, made, chosen.address)
-        return [member for member in free if member.has_room]
+        return True
 
     def refused(self, now: float, sender: str, head: Head, packet: Packet) -> None:
         """Place an opening again that an agent gave back."""
@@ -131,10 +152,36 @@
     def _place_elsewhere(
         self, now: float, head: Head, packet: Packet, made: Placement
     ) -> None:
-        takers = self.roster.takers(now, {*made.tried, *made.refused})
-        if not takers:
-            # All were tried; one whose answer got lost may take a copy.
-            takers = self.roster.takers(now, made.refused)
+        takers = self._takers(now, head, packet, made)
+        if not self._inquiries.begin(now, head, packet, takers):
+            self._place_among(now, head, packet, made, takers)
+
+    def _takers(
+        self, now: float, head: Head, packet: Packet, made: Placement
+    ) -> list[Member]:
+        flow, zone, tried = packet.flow, head.zone, {*made.tried, *made.refused}
+        takers = self.roster.takers(now, flow, zone, tried)
+        # If all were tried, one whose answer got lost may take a copy.
+        return takers or self.roster.takers(now, flow, zone, made.refused)
+
+    def _loads_told(self, now: float, inquiry: Inquiry) -> None:
+        """Place an opening whose takers have told their loads."""
+        head, packet = inquiry.head, inquiry.packet
+        made = self._placements.get(packet.flow)
+        if made is None or made.sequence != packet.sequence:
+            return
+        takers = self._takers(now, head, packet, made)
+        self._place_among(now, head, packet, made, takers)
+
+    def _place_among(
+        self,
+        now: float,
+        head: Head,
+        packet: Packet,
+        made: Placement,
+        takers: list[Member],
+    ) -> None:
+        takers = freshest(now, self.node.address, takers)
         chosen = self._choose(takers, head, packet)
         if chosen is None:
             self._give_up(packet, made)
@@ -242,7 +289,7 @@
             return
         home = self.roster.home(now, flow)
         if home not in (None, self.node.address) and not head.marks & Mark.POINTED:
-            self.node.pass_on(now, head, packet, home, head.marks & ASKED)
+            self._pass_to_home(now, head, packet, home)
         elif head.marks & Mark.SHARED and self._searches.is_denied(now, packet):
             self._searches.give_back(now, head, packet, Mark.NONE)
         elif head.marks & Mark.KNOWN:
@@ -252,6 +299,21 @@
         else:
             self._searches.begin(now, head, packet)
 
+    def _pass_to_home(self, now: float, head: Head, packet: Packet, home: str) -> None:
+        """Send a packet to a better home, and make sure that it is there.
+
+        What goes wrong without the question: in a large service a home that has
+        died is noticed after seconds, and until then each packet that the next
+        one gets in its place is sent to it.
+        """
+        if now - self.roster.by_address[home].heard_at > HOME_HEARD_WITHIN:
+            self._ask(now, home)
+        self.node.pass_on(now, head, packet, home, head.marks & ASKED)
+
+    def told(self, now: float, sender: str) -> None:
+        """Take note that a peer has told its load."""
+        self._inquiries.heard(now, sender)
+
     def denied(self, now: float, sender: str, flows: list[bytes]) -> None:
         """Take that an agent doesn't own flows."""
         for flow in flows:
@@ -261,6 +323,7 @@
     def tick(self, now: float) -> None:
         """End what is overdue."""
         self._searches.tick(now)
+        self._inquiries.tick(now)
         for flow, made in list(self._placements.items())[:64]:
             if now - made.at <= PLACEMENTS_KEPT:
                 break
--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/inquiries.py
@@ -0,0 +1,141 @@
+"""Openings that wait a moment for the loads of those that may take them.
+
+Loads: any service of more than a few agents. What statuses tell is seconds old
+there, every home takes the same few for idle, and openings queue at them while
+others have nothing to do. Asking four agents at the moment of each opening
+costs eight small datagrams and two trips between daemons. In the model of
+placing at 109 agents, 60 % of the slots used, that lowers the wait of the 99th
+of 100 requests from 0.50 s to 0.04 s.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from .member import Member
+from .models import Packet
+from .tunnel import Head
+
+__all__ = ["Inquiries", "Inquiry", "freshest"]
+
+CHOICES = 4
+"""Agents whose loads are known when one is chosen: with two the 99th of 100
+requests waits 90 ms in the model, with three 50, with four 35."""
+
+LOAD_KEPT = 0.05
+"""Seconds for which a load counts as known: about the work on one request."""
+
+PATIENCE = 0.02
+"""Seconds for the answers, above two trips between data centres (3 ms). Who
+hasn't answered by then isn't chosen if others have."""
+
+LIMIT = 1024
+"""Openings that wait for loads at most; further ones are placed at once."""
+
+
+@dataclass(slots=True)
+class Inquiry:
+    """One opening, and who hasn't told its load yet."""
+
+    at: float
+    head: Head
+    packet: Packet
+    waiting: set[str]
+
+
+class _Asks(Protocol):
+    def __call__(self, now: float, address: str) -> None:
+        """Ask a member for its status."""
+
+
+class Inquiries:
+    """The openings of one home that wait for loads.
+
+    Parameters
+    ----------
+    own : str
+        Address of this agent, whose load is always known.
+    rng : random.Random
+        Source of chance.
+    ask : callable
+        Asks a member for its status.
+    done : callable
+        Called with the time and an inquiry that ended.
+    """
+
+    def __init__(
+        self,
+        own: str,
+        rng: random.Random,
+        ask: _Asks,
+        done: Callable[[float, Inquiry], None],
+    ) -> None:
+        self._own = own
+        self._rng = rng
+        self._ask = ask
+        self._done = done
+        self._by_flow: dict[bytes, Inquiry] = {}
+
+    def __contains__(self, flow: bytes) -> bool:
+        return flow in self._by_flow
+
+    def begin(
+        self, now: float, head: Head, packet: Packet, takers: list[Member]
+    ) -> bool:
+        """Ask for loads, if too few are known; return whether it did."""
+        unknown = [m for m in takers if not self._is_known(now, m)]
+        missing = min(CHOICES - (len(takers) - len(unknown)), len(unknown))
+        if missing <= 0 or len(self._by_flow) >= LIMIT:
+            return False
+        asked = self._drawn(unknown, head.zone, missing)
+        waiting = {member.address for member in asked}
+        self._by_flow[packet.flow] = Inquiry(now, head, packet, waiting)
+        for address in sorted(waiting):
+            self._ask(now, address)
+        return True
+
+    def heard(self, now: float, address: str) -> None:
+        """Take note that a member has told its load."""
+        for inquiry in list(self._by_flow.values()):
+            if address in inquiry.waiting:
+                inquiry.waiting.discard(address)
+                if not inquiry.waiting:
+                    self._end(now, inquiry)
+
+    def forget(self, flow: bytes) -> None:
+        """End an inquiry whose opening is no longer to be placed."""
+        self._by_flow.pop(flow, None)
+
+    def tick(self, now: float) -> None:
+        """End those that have waited for long enough."""
+        for inquiry in list(self._by_flow.values()):
+            if now - inquiry.at >= PATIENCE:
+                self._end(now, inquiry)
+
+    def _end(self, now: float, inquiry: Inquiry) -> None:
+        del self._by_flow[inquiry.packet.flow]
+        self._done(now, inquiry)
+
+    def _is_known(self, now: float, member: Member) -> bool:
+        return member.address == self._own or now - member.told_at <= LOAD_KEPT
+
+    def _drawn(self, members: list[Member], zone: int, count: int) -> list[Member]:
+        """Draw whom to ask: half of them in the client's data centre."""
+        local = [member for member in members if member.zone == zone]
+        first = self._rng.sample(local, min((count + 1) // 2, len(local)))
+        names = {member.address for member in first}
+        others = [member for member in members if member.address not in names]
+        return first + self._rng.sample(others, count - len(first))
+
+
+def freshest(now: float, own: str, takers: list[Member]) -> list[Member]:
+    """Return those whose loads are known, all if none is."""
+    known = [
+        member
+        for member in takers
+        if member.address == own or now - member.told_at <= LOAD_KEPT + PATIENCE
+    ]
+    return known or takers
--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/member.py
@@ -0,0 +1,113 @@
+"""One agent, as another daemon knows it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .models import State
+from .tunnel import Status
+
+__all__ = ["TOLD_STATES", "Member"]
+
+UNTOLD_STATES = frozenset((State.STARTING, State.ANSWERING))
+"""States of an agent that has heard no heartbeat of its target yet."""
+
+TOLD_STATES = frozenset((State.READY, State.LEAVING))
+"""States of an agent that knows its target's slots from a heartbeat."""
+
+
+SHOWN_WITHIN = 0.1
+"""Seconds between the first and the last sign of life of an agent that was heard
+for a moment only: half of the time between two statuses in a small service."""
+
+
+@dataclass(slots=True)
+class Member:
+    """One agent: what it last said and when it was heard.
+
+    ``zone`` is the tag of its data centre, ``vouched_at`` when a peer last heard
+    it, as far as that peer has told.
+
+    ``answer_time`` is the mean time until an answer begins, in seconds.
+    ``busy`` and ``slots`` count requests, ``flows`` open flows, ``placed``
+    what this daemon has sent there since the last status, ``told_at`` when that
+    was. ``waiting_since`` is since when it owes an answer, ``asked_at`` when it
+    was last asked for it, ``probe_at`` and ``probe_pause`` when and how rarely
+    it is asked while it is silent, ``known_at`` since when it is known here,
+    ``since`` when its process was first heard.
+    """
+
+    address: str
+    zone: int
+    incarnation: int = 0
+    state: State = State.STARTING
+    slots: int = 1
+    busy: float = 0.0
+    flows: int = 0
+    warming: float = 0.0
+    answer_time: float = 0.0
+    placed: float = 0.0
+    heard_at: float = 0.0
+    vouched_at: float = float("-inf")
+    confirmed: bool = False
+    waiting_since: float | None = None
+    asked_at: float = 0.0
+    probe_at: float = 0.0
+    probe_pause: float = 0.0
+    known_at: float = 0.0
+    told_at: float = float("-inf")
+    since: float = 0.0
+
+    def take(self, status: Status, now: float) -> None:
+        """Take what the member itself has just said."""
+        if status.incarnation != self.incarnation:
+            self.since = now
+        self.incarnation = status.incarnation
+        state = State(status.state)
+        if state not in UNTOLD_STATES or self.state is not State.LEAVING:
+            # What goes wrong without the check: the agent of a leaving target
+            # restarts, doesn't know that it leaves, and gets openings.
+            self.state = state
+        self.slots = max(1, status.slots)
+        self.busy = status.busy
+        self.flows = status.flows
+        self.warming = status.warming
+        self.answer_time = status.answer_time
+        self.placed = 0.0
+        self.told_at = now
+        self.heard(now)
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a request that is sent there now needn't wait."""
+        return self.busy + self.placed < self.slots
+
+    @property
+    def has_told(self) -> bool:
+        """Whether a status of its own was heard."""
+        return self.incarnation > 0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether it says that it hasn't seen a target yet."""
+        return self.has_told and self.state is State.STARTING
+
+    @property
+    def may_serve_unseen(self) -> bool:
+        """Whether its target may hold flows although it isn't heard any more.
+
+        What goes wrong if one that was heard for a moment passes for empty: every
+        process starts again, this one ends at once, before its target could
+        show itself, and the flows that the target holds are reset.
+        """
+        if not self.confirmed:
+            return False
+        seen_for = self.heard_at - self.since
+        return self.state is not State.STARTING or seen_for < SHOWN_WITHIN
+
+    def heard(self, now: float) -> None:
+        """Note a sign of life."""
+        self.heard_at = now
+        self.confirmed = True
+        self.waiting_since = None
+        self.probe_at = self.probe_pause = 0.0
--- a/packages/zinniahook-core/src/zinniahook_core/packets/members.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/members.py
@@ -4,36 +4,50 @@
 itself once, agents tell of their peers, and silence tells who is gone. A
 roster merges the three. Nobody has to agree on it: a wrong guess costs a
 longer way for a packet, never a flow.
+
+However many agents there are, a flow concerns only a few: those that follow
+its key on a circle of hashes. They alone are its homes, may open it, and are
+asked for it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+import math
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
 
 from .. import rendezvous
+from .member import TOLD_STATES, Member
 from .models import State
+from .ring import Ring
 from .tunnel import Status
 
-__all__ = ["UNANSWERED_AFTER", "Member", "Roster"]
+__all__ = ["ASKED_AGAIN_AFTER", "UNANSWERED_AFTER", "Changes", "Roster"]
 
 STATUS_EVERY = 0.2
 """Seconds between statuses to the peers of the service."""
 
-STATUS_BUDGET = 100.0
+STATUS_BUDGET = 60.0
 """Statuses a second to all peers together, 70 bytes each with the heads of IP
-and UDP: 7 KB/s. In a service of more than 20 agents each is heard less
-often."""
+and UDP: 4 KB/s. In a service of more than 13 agents each is heard less often;
+who must know more of another asks it."""
 
 STATUSES_LOST = 5
 """Statuses in a row without which a peer is taken as gone, one second in a
 small service: a frozen or restarting agent must stop being home for others
 well within the 1.4 s that a client's opening lasts."""
 
+PEER_UNANSWERED_AFTER = 1.0
+"""Seconds from the first question that a peer has left unanswered, asked again
+meanwhile, after which it is taken as gone, however rarely statuses come."""
+
 UNANSWERED_AFTER = 0.8
-"""The same at an entry, which hears an agent only in answer to its packets:
-seconds from the first unanswered packet on. An agent answers after 0.6 s at
-the latest, as it answers no entry more often than each 0.4 s."""
+"""The same at an entry, which hears an agent only in answer to its packets."""
+
+ASKED_AGAIN_AFTER = 0.3
+"""Seconds without an answer after which a member is asked outright. What goes
+wrong without: one answer in a hundred gets lost, an agent that runs passes for
+gone, and its flows change their homes to and fro."""
 
 FORGET_AFTER = 60.0
 """Seconds of silence after which a member is dropped: the longest that a flow
@@ -51,80 +65,54 @@
 """Slots of a target as long as none has told its own: few, as a target that
 gets too much serves everything late."""
 
-UNTOLD_STATES = frozenset((State.STARTING, State.ANSWERING))
-"""States of an agent that has heard no heartbeat of its target yet."""
+FIRST = 8
+"""Agents that a flow belongs to. In the model of placing, the least loaded of
+four of them keeps 99 of 100 requests from waiting for more than 35 ms; with
+fewer to choose from the one that a loss makes busy has nobody beside it."""
 
-TOLD_STATES = frozenset((State.READY, State.LEAVING))
-"""States of an agent that knows its target's slots from a heartbeat."""
+FIRST_NEAR = 4
+"""Agents of the client's own data centre that may open its flow besides: among
+eight drawn of five data centres there often is none, and each byte between
+them is paid for."""
 
-PROBE_EVERY = 0.5
-"""Seconds between two hellos to a silent member."""
+WIDER = 4
+"""How many times more agents are asked for a flow that the first ones don't
+have. While half of all are away, flows are opened by agents as far as 30
+behind their key; while the service grows by half, the first eight become
+twelve."""
 
+REVIEWED_PER_SECOND = 320
+"""Members looked over in a second: twenty times each in a service of 16."""
 
-@dataclass(slots=True)
-class Member:
-    """One agent: what it last said and when it was heard.
+AGE_STEPS = 100
+"""Steps a second of the ages told, rounded up so that none grows younger."""
 
-    ``zone`` is the tag of its data centre, ``vouched_at`` when a peer last heard
-    it, as far as that peer has told.
+PROBE_FIRST = 0.5
+PROBE_LONGEST = 8.0
+"""Seconds between two hellos to a silent member: doubled each time, as most
+stay away, and each daemon asks them all."""
 
-    ``answer_time`` is the mean time until an answer begins, in seconds.
-    ``busy`` and ``slots`` count requests, ``flows`` open flows, ``placed``
-    what this daemon has sent there since the last status.
-    """
 
-    address: str
-    zone: int
-    incarnation: int = 0
-    state: State = State.STARTING
-    slots: int = 1
-    busy: float = 0.0
-    flows: int = 0
-    warming: float = 0.0
-    answer_time: float = 0.0
-    placed: float = 0.0
-    heard_at: float = 0.0
-    vouched_at: float = float("-inf")
-    confirmed: bool = False
-    waiting_since: float | None = None
-    probed_at: float = 0.0
-
-    def take(self, status: Status, now: float) -> None:
-        """Take what the member itself has just said."""
-        self.incarnation = status.incarnation
-        state = State(status.state)
-        if state not in UNTOLD_STATES or self.state is not State.LEAVING:
-            # What goes wrong without the check: the agent of a leaving target
-            # restarts, doesn't know that it leaves, and gets openings.
-            self.state = state
-        self.slots = max(1, status.slots)
-        self.busy = status.busy
-        self.flows = status.flows
-        self.warming = status.warming
-        self.answer_time = status.answer_time
-        self.placed = 0.0
-        self.heard(now)
+NAMES_TOLD = 8
+"""Agents that a line of the log names; a list of all would fill the log."""
 
-    @property
-    def has_room(self) -> bool:
-        """Whether a request that is sent there now needn't wait."""
-        return self.busy + self.placed < self.slots
 
-    @property
-    def has_told(self) -> bool:
-        """Whether a status of its own was heard."""
-        return self.incarnation > 0
+class Changes(NamedTuple):
+    """Who has come and gone since somebody looked."""
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether it says that it hasn't seen a target yet."""
-        return self.has_told and self.state is State.STARTING
+    come: list[str]
+    gone: list[str]
 
-    def heard(self, now: float) -> None:
-        """Note a sign of life."""
-        self.heard_at = now
-        self.confirmed = True
-        self.waiting_since = None
+    def __bool__(self) -> bool:
+        return bool(self.come or self.gone)
+
+    def told(self) -> dict[str, Any]:
+        """Return what a line of the log tells: numbers, and some of the names."""
+        return {
+            "come": self.come[:NAMES_TOLD],
+            "gone": self.gone[:NAMES_TOLD],
+            "more": max(0, len(self.come) + len(self.gone) - 2 * NAMES_TOLD),
+        }
 
 
 class Roster:
@@ -142,15 +130,21 @@
         self.service = service
         self.by_address: dict[str, Member] = {}
         self._own = own
-        self._present: tuple[str, ...] | None = None
-        self._candidates: tuple[str, ...] = ()
         self._is_peer = bool(own)
+        self._here: set[str] = set()
+        self._asked: set[str] = set()
+        self._ring = Ring()
+        self._rings_by_zone: dict[int, Ring] = {}
+        self._reviewed_at = float("-inf")
+        self.newest_at = float("-inf")
 
     @property
     def status_interval(self) -> float:
-        """Seconds between two statuses of a member to its peers."""
+        """Seconds between two statuses of a member to one of its peers."""
         return max(STATUS_EVERY, len(self.by_address) / STATUS_BUDGET)
 
+    # Who there is
+
     def add(self, now: float, address: str, zone: int, age: float = 0.0) -> Member:
         """Return the member at ``address``, a new one if there is none.
 
@@ -159,9 +153,11 @@
         """
         member = self.by_address.get(address)
         if member is None:
-            member = Member(address, zone, heard_at=now - age)
+            member = Member(address, zone, heard_at=now - age, known_at=now)
             self.by_address[address] = member
-            self._present = None
+            self.newest_at = now
+            self._ring.add(address)
+            self._rings_by_zone.setdefault(zone, Ring()).add(address)
         return member
 
     def learn(self, now: float, address: str, zone: int, status: Status) -> bool:
@@ -169,120 +165,194 @@
         member = self.add(now, address, zone)
         fresh = status.incarnation != member.incarnation
         member.take(status, now)
-        self._present = None if fresh else self._present
         return fresh
 
     def drop(self, address: str) -> None:
         """Forget a member."""
-        if self.by_address.pop(address, None) is not None:
-            self._present = None
-
-    def sent(self, now: float, address: str) -> None:
-        """Note at an entry that a packet went to a member."""
-        member = self.by_address.get(address)
-        if member is not None and member.waiting_since is None:
-            member.waiting_since = now
+        member = self.by_address.pop(address, None)
+        if member is not None:
+            self._ring.drop(address)
+            self._rings_by_zone[member.zone].drop(address)
 
     def is_silent(self, now: float, member: Member) -> bool:
         """Tell whether a member must be taken as gone."""
         if member.address == self._own:
             return False
-        if self._is_peer:
-            return now - member.heard_at > STATUSES_LOST * self.status_interval
         waiting = member.waiting_since
-        return waiting is not None and now - waiting > UNANSWERED_AFTER
+        if not self._is_peer:
+            return waiting is not None and now - waiting > UNANSWERED_AFTER
+        if now - member.heard_at > STATUSES_LOST * self.status_interval:
+            return True
+        return waiting is not None and now - waiting > PEER_UNANSWERED_AFTER
+
+    def is_here(self, now: float, address: str) -> bool:
+        """Tell whether a member can be asked and sent to."""
+        member = self.by_address.get(address)
+        return member is not None and not self.is_silent(now, member)
+
+    def present(self, now: float) -> list[str]:
+        """Return the addresses of those that can be asked and sent to."""
+        return [name for name in self.by_address if self.is_here(now, name)]
 
-    def refresh(self, now: float) -> bool:
-        """Judge silence again; return whether who is present has changed."""
+    def is_due(self, now: float) -> bool:
+        """Tell whether the members should be looked over again.
+
+        Less often the more there are, so that a daemon that has nothing to do
+        costs the same in a service of any size.
+        """
+        if now - self._reviewed_at < len(self.by_address) / REVIEWED_PER_SECOND:
+            return False
+        self._reviewed_at = now
+        return True
+
+    def refresh(self, now: float) -> Changes:
+        """Forget who is long gone; return what has changed since the last call."""
         for address, member in list(self.by_address.items()):
             if now - member.heard_at > FORGET_AFTER and self.is_silent(now, member):
                 self.drop(address)
-        former = self._present, self._candidates
-        here = [m for m in self.by_address.values() if not self.is_silent(now, m)]
-        self._present = tuple(sorted(member.address for member in here))
-        seated = tuple(sorted(m.address for m in here if not m.is_empty))
-        self._candidates = seated or self._present
-        return former != (self._present, self._candidates)
-
-    def present(self, now: float) -> tuple[str, ...]:
-        """Return the addresses of those that can be asked and sent to."""
-        if self._present is None:
-            self.refresh(now)
-        return self._present or ()
+        here = set(self.present(now))
+        changes = Changes(sorted(here - self._here), sorted(self._here - here))
+        self._here = here
+        return changes
 
-    def _home_candidates(self, now: float) -> tuple[str, ...]:
-        """Return the addresses of those that may be home.
+    # Whom to ask whether it is there
 
-        What goes wrong if an agent without a target is one: it is new and its
-        target comes in seconds, or none comes and the agent ends; each time a
-        share of the flows changes its home, and the openings of a second are
-        sent to an agent that is gone.
-        """
-        self.present(now)
-        return self._candidates
+    def sent(self, now: float, address: str) -> None:
+        """Note that a member got something that it must answer."""
+        member = self.by_address.get(address)
+        if member is not None and member.waiting_since is None:
+            member.waiting_since = now
+            member.asked_at = now
+            self._asked.add(address)
 
-    def absent(self, now: float) -> list[str]:
-        """Return those that are silent but may still hold flows."""
-        return [
-            address
-            for address, member in self.by_address.items()
-            if self.is_silent(now, member)
-        ]
+    def unanswered(self, now: float) -> list[str]:
+        """Return the members that are due for a question once more."""
+        due = []
+        for address in list(self._asked):
+            member = self.by_address.get(address)
+            since = member.waiting_since if member is not None else None
+            if since is None or now - since > PEER_UNANSWERED_AFTER:
+                self._asked.discard(address)
+            elif now - member.asked_at >= ASKED_AGAIN_AFTER:
+                member.asked_at = now
+                due.append(address)
+        return due
+
+    def probes(self, now: float) -> list[str]:
+        """Return the silent members that are due for a hello."""
+        due = []
+        for member in self.by_address.values():
+            if now < member.probe_at or not self.is_silent(now, member):
+                continue
+            member.probe_pause = min(PROBE_LONGEST, 2 * member.probe_pause)
+            member.probe_pause = max(PROBE_FIRST, member.probe_pause)
+            member.probe_at = now + member.probe_pause
+            due.append(member.address)
+        return due
 
-    def may_hold_unseen(self, now: float) -> bool:
-        """Tell whether a silent member may still serve flows.
+    # Whom a flow concerns
 
-        One that nobody has heard for long is cut off from its clients as well,
-        or gone; one that never knew a target has none to hold flows. If most are
-        silent they are starting. What goes wrong without: an agent that runs a
-        second before its peers takes all of them for gone, and resets flows.
+    def _is_lost(self, now: float, member: Member) -> bool:
+        """Tell whether a member has been silent for too long to hold flows."""
+        silent_for = now - max(member.heard_at, member.vouched_at)
+        return silent_for > LOST_AFTER and self.is_silent(now, member)
+
+    def _following(
+        self, now: float, ring: Ring, flow: bytes, most: int
+    ) -> Iterator[Member]:
+        """Return the members that a flow belongs to.
+
+        They are ``most`` of those that aren't lost, and more if few of them are
+        there: a flow must have somebody who opens it.
         """
-        absent = self.absent(now)
-        most = 2 * len(absent) > len(self.by_address)
-        unknown_after = LOST_AFTER if most else UNKNOWN_LOST_AFTER
-        for address in absent:
+        found = here = 0
+        for address in ring.after(flow):
             member = self.by_address[address]
-            silent_for = now - max(member.heard_at, member.vouched_at)
-            known = member.confirmed and member.state is not State.STARTING
-            known = known or member.vouched_at > float("-inf")
-            if silent_for < (LOST_AFTER if known else unknown_after):
-                return True
-        return False
+            if self._is_lost(now, member):
+                continue
+            found += 1
+            here += not self.is_silent(now, member)
+            yield member
+            if found >= WIDER * most or (found >= most and 2 * here >= most):
+                return
+
+    def _first(self, now: float, flow: bytes, most: int = FIRST) -> list[Member]:
+        """Return the members that a flow belongs to, for whichever client."""
+        if len(self.by_address) <= most:
+            return list(self.by_address.values())
+        return list(self._following(now, self._ring, flow, most))
+
+    def near(self, now: float, flow: bytes, zone: int) -> list[Member]:
+        """Return the members that may have opened a flow of one data centre."""
+        members = self._first(now, flow)
+        ring = self._rings_by_zone.get(zone)
+        if ring is None or len(members) == len(self.by_address):
+            return members
+        known = {member.address for member in members}
+        local = self._following(now, ring, flow, FIRST_NEAR)
+        return members + [m for m in local if m.address not in known]
+
+    def far(self, now: float, flow: bytes) -> list[Member]:
+        """Return the members that may have opened a flow, as others saw it.
+
+        What goes wrong without: clients move to another data centre, agents
+        join, or many were away as the flow was opened; its owner isn't among
+        those that it belongs to now, and the flow is reset.
+        """
+        by_address = {m.address: m for m in self._first(now, flow, WIDER * FIRST)}
+        if len(by_address) < len(self.by_address):
+            for ring in self._rings_by_zone.values():
+                for member in self._following(now, ring, flow, 2 * FIRST_NEAR):
+                    by_address[member.address] = member
+        return list(by_address.values())
 
     def homes(self, now: float, flow: bytes, most: int = 2) -> list[str]:
-        """Return the best ranked present members for a flow."""
-        candidates = self._home_candidates(now)
-        if len(candidates) <= 1:
-            return list(candidates)
-        return rendezvous.rank(flow, candidates)[:most]
+        """Return the best ranked present members for a flow.
+
+        What goes wrong if an agent without a target is one: it is new and its
+        target comes in seconds, or none comes and the agent ends; each time a
+        share of the flows changes its home, and the openings of a second are
+        sent to an agent that is gone.
+        """
+        first = self._first(now, flow)
+        here = [member for member in first if not self.is_silent(now, member)]
+        seated = [m.address for m in here if not m.is_empty]
+        names = seated or [m.address for m in here]
+        if len(names) <= 1:
+            return names
+        return rendezvous.rank(flow, names)[:most]
 
     def home(self, now: float, flow: bytes) -> str | None:
         """Return the member that knows the owner of a flow, or places it."""
-        candidates = self._home_candidates(now)
-        return rendezvous.best(flow, candidates) if candidates else None
-
-    def usual_slots(self) -> int:
-        """Return the median of the slots that targets have told."""
-        told = sorted(
-            member.slots
-            for member in self.by_address.values()
-            if member.state in TOLD_STATES
-        )
-        return told[len(told) // 2] if told else USUAL_SLOTS
+        homes = self.homes(now, flow, 1)
+        return homes[0] if homes else None
 
-    def takers(self, now: float, without: Iterable[str] = ()) -> list[Member]:
-        """Return the members that may open flows, else those that might.
+    def takers(
+        self, now: float, flow: bytes, zone: int, without: Iterable[str] = ()
+    ) -> list[Member]:
+        """Return the members that may open a flow, else those that might.
 
         One whose target has only answered may be leaving, so it takes openings
         if the others have no free slot; one whose target hasn't shown itself
         may have none yet, and then gets one at a time. What goes wrong without
         them: after a restart of every agent one target gets all openings until
         the heartbeats of the others, which takes up to a second.
+
+        If none of those that the flow belongs to has a target, the next ones
+        are asked: its searches reach as far.
         """
+        takers = self._able(now, self.near(now, flow, zone), without)
+        if takers:
+            return takers
+        return self._able(now, self._first(now, flow, WIDER * FIRST), without)
+
+    def _able(
+        self, now: float, members: list[Member], without: Iterable[str]
+    ) -> list[Member]:
         here = [
-            self.by_address[address]
-            for address in self.present(now)
-            if address not in without
+            member
+            for member in members
+            if member.address not in without and not self.is_silent(now, member)
         ]
         takers: list[Member] = []
         for state in (State.READY, State.ANSWERING):
@@ -294,33 +364,68 @@
             return starting
         return takers + [m for m in starting if m.has_room and not m.placed]
 
-    def probes(self, now: float) -> list[str]:
-        """Return the silent members that are due for a hello."""
-        due = []
-        for address in self.absent(now):
+    def absent(self, now: float, among: Iterable[Member]) -> list[str]:
+        """Return those that are silent but may still hold flows."""
+        return [m.address for m in among if self.is_silent(now, m)]
+
+    def may_hold_unseen(self, now: float, among: list[Member] | None = None) -> bool:
+        """Tell whether a silent member, of all or of some, may still serve flows.
+
+        One that nobody has heard for long is cut off from its clients as well,
+        or gone; one that never knew a target has none to hold flows. If most are
+        silent they are starting. What goes wrong without: an agent that runs a
+        second before its peers takes all of them for gone, and resets flows.
+        """
+        among = list(self.by_address.values()) if among is None else among
+        absent = self.absent(now, among)
+        most = 2 * len(absent) > len(among)
+        unknown_after = LOST_AFTER if most else UNKNOWN_LOST_AFTER
+        for address in absent:
             member = self.by_address[address]
-            if now - member.probed_at >= PROBE_EVERY:
-                member.probed_at = now
-                due.append(address)
-        return due
+            silent_for = now - max(member.heard_at, member.vouched_at)
+            known = member.may_serve_unseen or member.vouched_at > float("-inf")
+            if silent_for < (LOST_AFTER if known else unknown_after):
+                return True
+        return False
+
+    def usual_slots(self) -> int:
+        """Return the median of the slots that targets have told."""
+        told = sorted(
+            member.slots
+            for member in self.by_address.values()
+            if member.state in TOLD_STATES
+        )
+        return told[len(told) // 2] if told else USUAL_SLOTS
+
+    # What others are told
 
-    def rows(self, now: float) -> list[tuple[str, int, float | None]]:
-        """Return the members, for others to learn from.
+    def rows(
+        self, now: float, since: float = float("-inf")
+    ) -> list[tuple[str, int, float | None]]:
+        """Return the members that are known since a moment, to tell others.
 
         Each is an address, the tag of the zone, and how many seconds ago it was
         heard with a target, None if never. Silent ones are among them if they
         may hold flows: a daemon that has just started would take them for gone.
         """
-        present = self.present(now)
-        rows = [self._row(now, member) for member in self.by_address.values()]
-        return [row for row in rows if row[0] in present or row[2] is not None]
+        rows = [
+            (member, self._row(now, member))
+            for member in self.by_address.values()
+            if member.known_at > since
+        ]
+        return [
+            row
+            for member, row in rows
+            if row[2] is not None or not self.is_silent(now, member)
+        ]
 
     def _row(self, now: float, member: Member) -> tuple[str, int, float | None]:
         # What others have told isn't told on: of an agent that is gone each
         # would have heard from the next one for ever.
         known = member.has_told and not member.is_empty
         silent_for = 0.0 if member.address == self._own else now - member.heard_at
-        return member.address, member.zone, silent_for if known else None
+        age = math.ceil(silent_for * AGE_STEPS) / AGE_STEPS
+        return member.address, member.zone, age if known else None
 
     def vouch(self, now: float, address: str, age: float | None) -> None:
         """Note how long ago a peer has heard a member.
--- a/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
@@ -4,19 +4,23 @@
 
 from . import tunnel
 from .flows import Flows
-from .members import Roster
+from .members import ASKED_AGAIN_AFTER, Roster
 from .models import State
 from .node import Node
 from .target import Target
-from .tunnel import Kind, Status, tag
+from .tunnel import Kind, Status, Wish, tag
 
 __all__ = ["Membership"]
 
 ENTRY_STATUS_EVERY = 0.4
 """Seconds between statuses to an entry that sends packets here."""
 
-ROSTER_EVERY = 2.0
-"""Seconds between rosters to an entry; it learns of new agents so."""
+ROSTER_EVERY = 4.0
+"""Seconds between rosters to an entry drawn by lot. What goes wrong without:
+an entry that has missed a new agent never sends anything there."""
+
+TELLERS = 8
+"""Agents that tell each entry of a new one; who isn't among them is silent."""
 
 ENTRIES_LIMIT = 1024
 ENTRY_KEPT = 30.0
@@ -51,9 +55,12 @@
         self._incarnation = incarnation
         self._told_state = State.STARTING
         self._said_at = NEVER
+        self._due = 0.0
+        self._rotation: list[str] = []
+        self._owed: set[str] = set()
+        self._roster_at = NEVER
         self._seen_by_entry: dict[str, float] = {}
         self._told_by_entry: dict[str, float] = {}
-        self._rosters_by_entry: dict[str, float] = {}
         self.roster = self._new_roster()
 
     @property
@@ -102,62 +109,119 @@
                 target=self._target.name,
                 flows=len(self._flows),
             )
-            self._say(now, changed=True)
-        elif now - self._said_at >= self.roster.status_interval:
-            self._say(now, changed=False)
-
-    def greet(self, now: float, address: str) -> None:
-        """Answer a hello: with the status, and with the roster."""
+            self._tell_all(now)
+        else:
+            self._tell_some(now)
+        self._tell_entries(now)
+        for address in self.roster.unanswered(now):
+            self._node.hello(now, address)
+
+    def ask(self, now: float, address: str) -> None:
+        """Ask a peer for its status, unless a question is under way."""
+        member = self.roster.by_address.get(address)
+        if member is None or address == self._node.address:
+            return
+        if member.waiting_since is None or now - member.asked_at >= ASKED_AGAIN_AFTER:
+            self.roster.sent(now, address)
+            member.asked_at = now
+            self._node.hello(now, address)
+
+    def greet(self, now: float, address: str, wish: int) -> None:
+        """Answer a hello."""
+        if wish == Wish.NOTHING:
+            return
         self._send(now, address, self._status(now))
-        self._send_roster(now, address)
+        if wish == Wish.MEMBERS:
+            self._send_rows(now, address, self.roster.rows(now))
 
     def introduce(self, now: float, address: str) -> None:
         """Tell an agent that has just become known of this one."""
         self._send(now, address, self._status(now))
 
     def note_entry(self, now: float, entry: str) -> None:
-        """Note that an entry sent a packet, and answer it now and then."""
+        """Note that an entry sent a packet, and answer it now and then.
+
+        What goes wrong if the answer waits for the statuses to peers, which are
+        seconds apart in a large service: the entry takes this agent for gone.
+        """
         known = entry in self._seen_by_entry
         if not known and len(self._seen_by_entry) >= ENTRIES_LIMIT:
             return
         self._seen_by_entry[entry] = now
         if now - self._told_by_entry.get(entry, NEVER) >= ENTRY_STATUS_EVERY:
             self._tell_entry(now, entry, self._status(now))
+        else:
+            self._owed.add(entry)
 
-    def _say(self, now: float, changed: bool) -> None:
+    def _tell_all(self, now: float) -> None:
+        """Tell everybody that the state has changed."""
         self._said_at = now
         self._told_state = self.state(now)
         body = self._status(now)
         for address in list(self.roster.by_address):
             if address != self._node.address:
                 self._send(now, address, body)
+        for entry in self._seen_by_entry:
+            self._tell_entry(now, entry, body)
+
+    def _tell_some(self, now: float) -> None:
+        """Tell the peers whose turn it is.
+
+        In turns and not all at once: what is known of the configuration spreads
+        with each datagram, and so arrives everywhere all the time.
+        """
+        peers = len(self.roster.by_address) - 1
+        passed = min(now - self._said_at, self.roster.status_interval)
+        self._said_at = now
+        self._due += peers * passed / self.roster.status_interval
+        count = min(int(self._due), peers)
+        if count <= 0:
+            return
+        self._due -= count
+        body = self._status(now)
+        for _ in range(count):
+            self._send(now, self._next_peer(), body)
+
+    def _next_peer(self) -> str:
+        while True:
+            if not self._rotation:
+                own = self._node.address
+                self._rotation = [a for a in self.roster.by_address if a != own]
+            address = self._rotation.pop()
+            if address in self.roster.by_address:
+                return address
+
+    def _tell_entries(self, now: float) -> None:
+        """Answer entries that are owed an answer, and one now and then."""
+        for entry in list(self._owed):
+            if now - self._told_by_entry.get(entry, NEVER) >= ENTRY_STATUS_EVERY:
+                self._tell_entry(now, entry, self._status(now))
+        if now - self._roster_at < ROSTER_EVERY:
+            return
+        self._roster_at = now
         for entry, seen in list(self._seen_by_entry.items()):
-            told = self._told_by_entry.get(entry, NEVER)
             if now - seen > ENTRY_KEPT:
-                self._forget_entry(entry)
-            elif changed or (seen > told and now - told >= ENTRY_STATUS_EVERY):
-                self._tell_entry(now, entry, body)
+                self._seen_by_entry.pop(entry)
+                self._told_by_entry.pop(entry, None)
+        if self._seen_by_entry:
+            entry = self._node.rng.choice(list(self._seen_by_entry))
+            self._send_rows(now, entry, self.roster.rows(now))
 
     def _tell_entry(self, now: float, entry: str, body: bytes) -> None:
+        told = self._told_by_entry.get(entry, NEVER)
         self._told_by_entry[entry] = now
+        self._owed.discard(entry)
         self._send(now, entry, body)
-        if now - self._rosters_by_entry.get(entry, NEVER) >= ROSTER_EVERY:
-            self._rosters_by_entry[entry] = now
-            self._send_roster(now, entry)
-
-    def _forget_entry(self, entry: str) -> None:
-        for by_entry in (
-            self._seen_by_entry,
-            self._told_by_entry,
-            self._rosters_by_entry,
-        ):
-            by_entry.pop(entry, None)
+        if self.roster.newest_at <= told or told == NEVER:
+            return
+        if self._node.rng.random() * len(self.roster.by_address) < TELLERS:
+            self._send_rows(now, entry, self.roster.rows(now, told))
 
     def _send(self, now: float, address: str, body: bytes) -> None:
         self._node.send(now, address, Kind.STATUS, body, service=self.service)
 
-    def _send_roster(self, now: float, address: str) -> None:
-        body = tunnel.control({self._target.service: self.roster.rows(now)})
+    def _send_rows(self, now: float, address: str, rows: list) -> None:
+        body = tunnel.control({self._target.service: rows})
         self._node.send(now, address, Kind.ROSTER, body, service=self.service)
 
     def _status(self, now: float) -> bytes:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/node.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/node.py
@@ -9,7 +9,7 @@
 from .formers import Former, Formers
 from .freshness import Freshness
 from .models import Codec, Links, Log, Packet, Routes, route_key
-from .tunnel import Head, Kind, zone_tag
+from .tunnel import Head, Kind, Wish, zone_tag
 
 __all__ = ["HOP_LIMIT", "Node", "Row"]
 
@@ -31,8 +31,9 @@
     age: float | None
 
 
-NEWS_WIDTH = 64
-"""Most daemons told at once of a new configuration; they tell others."""
+NEWS_WIDTH = 8
+"""Daemons told at once of a new configuration. Each tells as many others, so one
+in 3,000 isn't told directly; it sees the version in the next datagram."""
 
 
 class Node:
@@ -99,8 +100,9 @@
             former=former,
             routes=len(routes.by_address),
         )
-        for address in self.neighbours(now)[:NEWS_WIDTH]:
-            self.hello(now, address)
+        others = self.neighbours(now)
+        for address in self.rng.sample(others, min(NEWS_WIDTH, len(others))):
+            self.hello(now, address, Wish.NOTHING)
         return True
 
     def candidates(self, now: float, flow: bytes) -> list[str]:
@@ -116,9 +118,9 @@
         """Return the daemons to be told of a new configuration."""
         raise NotImplementedError
 
-    def hello(self, now: float, address: str) -> None:
-        """Show this daemon's configuration to another and ask for its own."""
-        self.send(now, address, Kind.HELLO)
+    def hello(self, now: float, address: str, wish: Wish = Wish.STATUS) -> None:
+        """Show this daemon's configuration to another, and ask for something."""
+        self.send(now, address, Kind.HELLO, reason=wish)
 
     def send(
         self,
--- a/packages/zinniahook-core/src/zinniahook_core/packets/openings.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/openings.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 from .flows import Flow, Flows, Standing
-from .members import Member, Roster
 from .membership import Membership
 from .models import Packet, State, Urgency, route_key
 from .node import HOP_LIMIT, Node
@@ -16,20 +15,18 @@
 __all__ = ["Openings", "Placer"]
 
 CHECKED_PER_TICK = 256
+STAYING_LOOKED_AT = 8
+"""Waiting openings without a free peer that are looked at in a tick."""
 
 
 class Placer(Protocol):
     """The home of this agent, which places openings that it can't take."""
 
-    roster: Roster
-
     def refused(self, now: float, sender: str, head: Head, packet: Packet) -> None:
         """Place an opening again that an agent gave back."""
 
-    def move(
-        self, now: float, head: Head, packet: Packet, free: list[Member]
-    ) -> list[Member]:
-        """Hand an opening that waits to a peer; return who is still free."""
+    def move(self, now: float, head: Head, packet: Packet) -> bool:
+        """Hand an opening that waits to a peer with a free slot, if there is one."""
 
 
 class Openings:
@@ -145,17 +142,14 @@
         One that has passed as many daemons as it may stays. What goes wrong
         without: it is taken from the queue, can't be sent, and is lost.
         """
-        free = [
-            member
-            for member in self.home.roster.takers(now, (self._node.address,))
-            if member.has_room
-        ]
         stay: list[Opening] = []
-        while free and (opening := self._next(now)) is not None:
-            if opening.head.hops >= HOP_LIMIT:
+        while len(stay) < STAYING_LOOKED_AT:
+            opening = self._next(now)
+            if opening is None:
+                break
+            head, packet = opening.head, opening.packet
+            if head.hops >= HOP_LIMIT or not self.home.move(now, head, packet):
                 stay.append(opening)
-            else:
-                free = self.home.move(now, opening.head, opening.packet, free)
         for opening in stay:
             self.waiting.put(opening)
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/registry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/registry.py
@@ -42,6 +42,7 @@
         self._flows = flows
         self._home = home
         self._pending: list[bytes] = []
+        self._restarted: set[str] = set()
 
     def tell_owner(self, now: float, address: str, keys: list[bytes]) -> None:
         """Tell a daemon that this agent owns flows."""
@@ -58,15 +59,17 @@
             return
         flow.homes = homes
         for home in homes:
-            if home != self._node.address:
-                self.tell_owner(now, home, [flow.key])
-            else:
-                self._home.learn(now, self._node.address, [flow.key])
+            self._tell_home(now, home, [flow.key])
 
     def register_all(self) -> None:
-        """Tell every flow again, some in each tick: homes have changed."""
+        """Look at every flow again, some in each tick: homes may have changed."""
         self._pending = list(self._flows.by_key)
 
+    def restarted(self, address: str) -> None:
+        """Tell a peer that has just started every flow that it is a home of."""
+        self._restarted.add(address)
+        self.register_all()
+
     def tick(self, now: float) -> None:
         """Tell some of the flows that are due."""
         some = self._pending[-REGISTERED_PER_TICK:]
@@ -76,12 +79,28 @@
             flow = self._flows.get(key)
             if flow is None or flow.standing is not Standing.OPEN:
                 continue
-            flow.homes = tuple(self._membership.roster.homes(now, key))
-            for home in flow.homes:
-                if home != self._node.address:
-                    keys_by_home.setdefault(home, []).append(key)
+            for home in self._untold(now, flow):
+                keys_by_home.setdefault(home, []).append(key)
         for home, keys in keys_by_home.items():
+            self._tell_home(now, home, keys)
+        if not self._pending:
+            self._restarted.clear()
+
+    def _untold(self, now: float, flow: Flow) -> list[str]:
+        """Return the homes of a flow that don't know it; take note of them.
+
+        What goes wrong if every home is told again: one agent comes or goes, and
+        all of them tell each other all flows.
+        """
+        known = set(flow.homes) - self._restarted
+        flow.homes = tuple(self._membership.roster.homes(now, flow.key))
+        return [home for home in flow.homes if home not in known]
+
+    def _tell_home(self, now: float, home: str, keys: list[bytes]) -> None:
+        if home != self._node.address:
             self.tell_owner(now, home, keys)
+        else:
+            self._home.learn(now, home, keys)
 
     def deny(self, now: float, asker: str, key: bytes) -> None:
         """Tell who asked that this agent doesn't own a flow."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
@@ -1,8 +1,10 @@
 """Searches for the owners of flows among the agents of a service.
 
-A home that knows nothing of a flow passes the packet itself to its peers, a few
-at a time: the owner delivers it, the others deny. Nobody is asked once the owner
-is known, and what everybody has denied isn't searched for again.
+A home that knows nothing of a flow passes the packet itself to the peers that
+the flow belongs to, a few at a time: the owner delivers it, the others deny. If
+all have denied it, a wider circle is asked once, the same in a service of any
+size. Nobody is asked once the owner is known, and what everybody has denied
+isn't searched for again.
 """
 
 from __future__ import annotations
@@ -14,10 +16,11 @@
 
 from . import tunnel
 from .flows import SEQUENCE_SPAN, WINDOW
+from .member import Member
 from .members import Roster
 from .models import Packet
 from .node import Node
-from .tunnel import Head, Kind, Mark, Reason
+from .tunnel import Head, Kind, Mark, Reason, Wish
 
 __all__ = ["ASKED", "Searches", "Taken"]
 
@@ -53,7 +56,10 @@
 packets and its own target none. A wave takes 3 ms."""
 
 WAVES = 8
-"""Waves in which even a large service is asked."""
+"""Waves in which even the wider circle is asked."""
+
+VOUCHES_EVERY = 0.25
+"""Seconds between two questions to peers whether they hear who is silent."""
 
 SEARCHES_LIMIT = 4096
 
@@ -100,6 +106,7 @@
     head: Head
     packet: Packet
     given_back: bool = False
+    is_wide: bool = False
     waved_at: float = float("-inf")
     waiting: set[str] = field(default_factory=set)
     denied: set[str] = field(default_factory=set)
@@ -137,6 +144,7 @@
         self._search_here = search_here
         self._by_flow: dict[bytes, Search] = {}
         self._denials: dict[bytes, Denial] = {}
+        self._vouched_at = float("-inf")
 
     def __contains__(self, flow: bytes) -> bool:
         return flow in self._by_flow
@@ -152,7 +160,7 @@
             return
         search = Search(now, now + SEARCH_REPEAT, head, packet)
         self._by_flow[packet.flow] = search
-        agents = len(self.roster.present(now)) - 1
+        agents = len(self._circle(now, search))
         self.node.log.event("search", flow=packet.flow, agents=agents)
         if here is Taken.OPEN:
             search.waved_at = now
@@ -208,7 +216,7 @@
         """
         hurry = now < search.begun + SEARCH_HURRY
         search.ask_at = now + (SEARCH_REPEAT if hurry else SEARCH_REPEAT_LATE)
-        search.waiting &= {*self.roster.present(now), self.node.address}
+        search.waiting = {n for n in search.waiting if self.roster.is_here(now, n)}
         self._ask(now, search, search.waiting - {self.node.address})
         if now - search.begun >= RELAY_AFTER:
             self._ask_by_peers(now, search)
@@ -224,14 +232,14 @@
         its owner are cut off from each other; and the peer tells whether it
         hears them.
         """
-        missing = search.waiting | set(self.roster.absent(now)) - search.denied
-        missing.discard(self.node.address)
-        present = self.roster.present(now)
-        peers = [n for n in present if n not in missing and n != self.node.address]
-        if not missing or not peers:
+        circle = self._circle(now, search)
+        silent = set(self.roster.absent(now, circle))
+        missing = (search.waiting | silent) - search.denied - {self.node.address}
+        names = {m.address for m in circle} - silent - missing - {self.node.address}
+        if not missing or not names:
             return
-        peer = self.node.rng.choice(peers)
-        self.node.hello(now, peer)
+        peer = self.node.rng.choice(sorted(names))
+        self._ask_who_is_heard(now, peer)
         for name in self.node.rng.sample(sorted(missing), min(RELAYS, len(missing))):
             self.node.send(
                 now,
@@ -243,22 +251,48 @@
                 like=search.head,
             )
 
+    def _ask_who_is_heard(self, now: float, peer: str) -> None:
+        if now - self._vouched_at >= VOUCHES_EVERY:
+            self._vouched_at = now
+            self.node.hello(now, peer, Wish.MEMBERS)
+
+    def _circle(self, now: float, search: Search) -> list[Member]:
+        """Return the members that may own the flow, as far as is searched yet."""
+        flow, zone = search.packet.flow, search.head.zone
+        near = self.roster.near(now, flow, zone)
+        if not search.is_wide:
+            return near
+        known = {member.address for member in near}
+        far = self.roster.far(now, flow)
+        return near + [member for member in far if member.address not in known]
+
     def _go_on(self, now: float, flow: bytes, search: Search) -> None:
         """Ask the next few agents; end the search if none is left to ask."""
-        asked = search.waiting | search.denied | {self.node.address}
-        left = [name for name in self.roster.present(now) if name not in asked]
-        width = max(WAVE, len(self.roster.by_address) // WAVES)
+        left = self._left(now, search)
+        if not left and not search.waiting and not search.is_wide:
+            search.is_wide = True
+            left = self._left(now, search)
+        width = max(WAVE, len(left) // WAVES)
         wave = self.node.rng.sample(left, min(width, len(left)))
         search.waved_at = now
         self._ask(now, search, wave)
         if search.waiting:
             return
         # An agent that is silent may be cut off from here only and hold it.
-        if not self.roster.may_hold_unseen(now):
+        if not self.roster.may_hold_unseen(now, self._circle(now, search)):
             self._conclude(now, flow, search)
         else:
             self._let_others_be_asked(now, flow, search)
 
+    def _left(self, now: float, search: Search) -> list[str]:
+        """Return who is present and hasn't been asked yet."""
+        asked = search.waiting | search.denied | {self.node.address}
+        return [
+            member.address
+            for member in self._circle(now, search)
+            if member.address not in asked and not self.roster.is_silent(now, member)
+        ]
+
     def _let_others_be_asked(self, now: float, flow: bytes, search: Search) -> None:
         """Give packets back while a search goes on, if others may own the flow."""
         if not self._is_alone(now, search.head, flow):
@@ -284,7 +318,7 @@
         self.node.log.event(
             "reset.no_owner" if ended else "drop.no_owner",
             flow=flow,
-            present=len(self.roster.present(now)),
+            asked=len(search.denied),
             alone=alone,
         )
         if ended:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/tunnel.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/tunnel.py
@@ -24,6 +24,7 @@
     "Mark",
     "Reason",
     "Status",
+    "Wish",
     "control",
     "decode",
     "decode_control",
@@ -75,7 +76,7 @@
     """What an agent says of itself; asks nothing."""
 
     HELLO = 4
-    """Asks for a status and shows the sender's configuration."""
+    """Shows the sender's configuration; ``reason`` tells what it asks for."""
 
     OWNER = 5
     """Tells an entry or a home which agent owns flows."""
@@ -130,6 +131,17 @@
     """No agent of the service is known to own the flow."""
 
 
+class Wish(enum.IntEnum):
+    """What a hello asks for, told in place of a reason."""
+
+    STATUS = 0
+    MEMBERS = 1
+    """The status, and which agents there are."""
+
+    NOTHING = 2
+    """It only shows its sender's configuration."""
+
+
 class Head(NamedTuple):
     """The fixed part of every datagram.
 
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/daemon.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/daemon.py
@@ -16,6 +16,7 @@
 from zinniahook_core.models import Address
 from zinniahook_core.packets import Codec, formers
 from zinniahook_core.packets.node import Node
+from zinniahook_core.packets.tunnel import Wish
 
 from ..sockets import UdpSocket
 from . import exposition, web
@@ -29,6 +30,11 @@
 """Seconds between ticks: half of the shortest time-out of the cores."""
 
 FETCH_TIMEOUT = 0.5
+FETCH_PATIENCE = 0.15
+"""Seconds until another daemon is asked for a configuration too. What goes wrong
+if all are asked: a change shows in the datagrams of a hundred peers within
+milliseconds, and each of them gives the same document."""
+
 COMPRESSION = 1
 """Level of zlib: 1 ms for 50 KB, an eighth of the bytes between data centres."""
 
@@ -83,7 +89,7 @@
         self._client_addresses: dict[bytes, tuple[str, int]] = {}
         self._sockets: list[Any] = []
         self._tasks: list[asyncio.Task] = []
-        self._fetching: set[str] = set()
+        self._fetching_since: dict[str, float] = {}
         self._packed = b""
         self._packed_version = 0
         self._looked_up: dict[str, float] = {}
@@ -225,7 +231,7 @@
         while True:
             for seed in self.settings.seeds:
                 if seed != self.settings.address:
-                    self.core.hello(time.monotonic(), seed)
+                    self.core.hello(time.monotonic(), seed, Wish.MEMBERS)
             answered = await self._look_up(self.settings.service or None)
             if self.is_informed(answered):
                 return
@@ -263,9 +269,12 @@
 
     def fetch(self, address: str) -> None:
         """Get the newer configuration of another daemon."""
-        if address not in self._fetching:
-            self._fetching.add(address)
-            self.start(self._fetch(address))
+        now = time.monotonic()
+        latest = max(self._fetching_since.values(), default=float("-inf"))
+        if address in self._fetching_since or now - latest < FETCH_PATIENCE:
+            return
+        self._fetching_since[address] = now
+        self.start(self._fetch(address))
 
     async def _fetch(self, address: str) -> None:
         client = web.Client(Address(address, self.settings.inner_port), FETCH_TIMEOUT)
@@ -281,7 +290,7 @@
             self.journal.event("fetch.failed", peer=address, error=str(error))
         finally:
             client.close()
-            self._fetching.discard(address)
+            self._fetching_since.pop(address, None)
 
     def _from_peer(self, data: bytes, source: tuple) -> None:
         self.core.receive(time.monotonic(), source[0], data)
