Search where a flow may ever have belonged, and count who gets a target

Cause: in the new tests of a service that grows from 3 to 50 agents an open flow was reset: its home changed as a new agent got its target, owners looked at their flows again only when somebody came or went, and its owner, far from its key by then, wasn't among those that were searched.

Change: an agent that gets or loses its seat as home counts as a change; the wider circle holds every member that the flow may have belonged to since it joined. The order of joining is the store's order of announcements.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -12,6 +12,7 @@
 from . import tunnel
 from .flows import Flow, Flows, Standing
 from .homes import Home
+from .member import YOUNGEST
 from .members import Roster
 from .membership import Membership
 from .models import Beat, Codec, Flag, Links, Log, Packet, Route, route_key
@@ -71,10 +72,20 @@
         """The agents of the service."""
         return self.membership.roster
 
-    def members(self, now: float, service: str, address: str, centre: str) -> None:
-        """Take an agent that announced itself in the store."""
+    def members(
+        self,
+        now: float,
+        service: str,
+        address: str,
+        centre: str,
+        order: int = YOUNGEST,
+    ) -> None:
+        """Take an agent that announced itself in the store.
+
+        ``order`` tells which agents announced themselves before.
+        """
         if service == self.target.service:
-            self.membership.learn_members(now, [(address, zone_tag(centre), None)])
+            self.membership.learn_member(now, address, zone_tag(centre), order)
 
     def neighbours(self, now: float) -> list[str]:
         """Return the peers, then the entries that send here."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
@@ -14,6 +14,7 @@
 
 from . import tunnel
 from .formers import Former
+from .member import YOUNGEST
 from .members import UNANSWERED_AFTER, Roster
 from .models import Codec, Links, Log, Packet, Routes, route_key
 from .node import HOP_LIMIT, Node
@@ -120,7 +121,14 @@
         """The number of packets held for agents that were never heard."""
         return self._held
 
-    def members(self, now: float, service: str, address: str, centre: str) -> None:
+    def members(
+        self,
+        now: float,
+        service: str,
+        address: str,
+        centre: str,
+        order: int = YOUNGEST,
+    ) -> None:
         """Take an agent that announced itself in the store."""
         roster = self._roster(service)
         if address not in roster.by_address and len(roster.by_address) < GREETED:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/member.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/member.py
@@ -7,7 +7,7 @@
 from .models import State
 from .tunnel import Status
 
-__all__ = ["TOLD_STATES", "Member"]
+__all__ = ["TOLD_STATES", "YOUNGEST", "Member"]
 
 UNTOLD_STATES = frozenset((State.STARTING, State.ANSWERING))
 """States of an agent that has heard no heartbeat of its target yet."""
@@ -16,6 +16,9 @@
 """States of an agent that knows its target's slots from a heartbeat."""
 
 
+YOUNGEST = 1 << 62
+"""Order of a member that has joined since this daemon read who there is."""
+
 SHOWN_WITHIN = 0.1
 """Seconds between the first and the last sign of life of an agent that was heard
 for a moment only: half of the time between two statuses in a small service."""
@@ -34,7 +37,7 @@
     was. ``waiting_since`` is since when it owes an answer, ``asked_at`` when it
     was last asked for it, ``probe_at`` and ``probe_pause`` when and how rarely
     it is asked while it is silent, ``known_at`` since when it is known here,
-    ``since`` when its process was first heard.
+    ``since`` when its process was first heard, ``order`` after whom it joined.
     """
 
     address: str
@@ -57,6 +60,7 @@
     known_at: float = 0.0
     told_at: float = float("-inf")
     since: float = 0.0
+    order: int = YOUNGEST
 
     def take(self, status: Status, now: float) -> None:
         """Take what the member itself has just said."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/members.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/members.py
@@ -12,12 +12,13 @@
 
 from __future__ import annotations
 
+import bisect
 import math
 from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
 from .. import rendezvous
-from .member import TOLD_STATES, Member
+from .member import TOLD_STATES, YOUNGEST, Member
 from .models import State
 from .ring import Ring
 from .tunnel import Status
@@ -98,7 +99,7 @@
 
 
 class Changes(NamedTuple):
-    """Who has come and gone since somebody looked."""
+    """Who has come and gone since somebody looked, among those that may be home."""
 
     come: list[str]
     gone: list[str]
@@ -145,15 +146,24 @@
 
     # Who there is
 
-    def add(self, now: float, address: str, zone: int, age: float = 0.0) -> Member:
+    def add(
+        self,
+        now: float,
+        address: str,
+        zone: int,
+        age: float = 0.0,
+        order: int = YOUNGEST,
+    ) -> Member:
         """Return the member at ``address``, a new one if there is none.
 
         One that others only told of, ``age`` seconds after they heard it, counts
-        as present until it has been silent for too long.
+        as present until it has been silent for too long. ``order`` grows with
+        the moments at which members joined.
         """
         member = self.by_address.get(address)
         if member is None:
             member = Member(address, zone, heard_at=now - age, known_at=now)
+            member.order = order
             self.by_address[address] = member
             self.newest_at = now
             self._ring.add(address)
@@ -210,7 +220,9 @@
         for address, member in list(self.by_address.items()):
             if now - member.heard_at > FORGET_AFTER and self.is_silent(now, member):
                 self.drop(address)
-        here = set(self.present(now))
+        present = self.present(now)
+        seated = [name for name in present if not self.by_address[name].is_empty]
+        here = set(seated or present)
         changes = Changes(sorted(here - self._here), sorted(self._here - here))
         self._here = here
         return changes
@@ -300,12 +312,33 @@
         those that it belongs to now, and the flow is reset.
         """
         by_address = {m.address: m for m in self._first(now, flow, WIDER * FIRST)}
-        if len(by_address) < len(self.by_address):
-            for ring in self._rings_by_zone.values():
-                for member in self._following(now, ring, flow, 2 * FIRST_NEAR):
-                    by_address[member.address] = member
+        if len(by_address) == len(self.by_address):
+            return list(by_address.values())
+        rings = [(self._ring, FIRST)]
+        rings += [(ring, FIRST_NEAR) for ring in self._rings_by_zone.values()]
+        for ring, most in rings:
+            for member in self._ever_following(now, ring, flow, most):
+                by_address[member.address] = member
         return list(by_address.values())
 
+    def _ever_following(
+        self, now: float, ring: Ring, flow: bytes, most: int
+    ) -> Iterator[Member]:
+        """Return the members that a flow may ever have belonged to.
+
+        A member that joined after another one never stood before it in the eyes
+        of a flow that was opened until then; only those that joined earlier
+        count. So of a service that has grown a few more are asked, not all.
+        """
+        orders: list[int] = []
+        for address in ring.after(flow):
+            member = self.by_address[address]
+            if self._is_lost(now, member):
+                continue
+            if bisect.bisect_right(orders, member.order) < most:
+                yield member
+            bisect.insort(orders, member.order)
+
     def homes(self, now: float, flow: bytes, most: int = 2) -> list[str]:
         """Return the best ranked present members for a flow.
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
@@ -270,3 +270,10 @@
             self.roster.vouch(now, address, age)
             if not known:
                 self.introduce(now, address)
+
+    def learn_member(self, now: float, address: str, zone: int, order: int) -> None:
+        """Take one that the store tells of, with its order among the others."""
+        known = address in self.roster.by_address
+        self.roster.add(now, address, zone, order=order).order = order
+        if not known:
+            self.introduce(now, address)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/ports.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/ports.py
@@ -28,11 +28,16 @@
 
 
 class Announced(NamedTuple):
-    """An agent as it stands in the store."""
+    """An agent as it stands in the store.
+
+    ``order`` is a number that grows with the moments at which agents first
+    announced themselves; 0 if the agent hasn't yet.
+    """
 
     service: str
     address: str
     data_centre: str
+    order: int = 0
 
 
 class Kept(NamedTuple):
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/packetworlds.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packetworlds.py
@@ -230,8 +230,8 @@
             next(self._ids),
         )
         agent.core.start(self.now)
-        for announced in self.announced:
-            agent.core.members(self.now, *announced)
+        for order, announced in enumerate(self.announced):
+            agent.core.members(self.now, *announced, order)
         agent.core.formers.begin(self.now)
         if configured:
             self._configure(agent.core)
