Send in the same order in every process, and take resets out of the agent

Cause: an example of the state machine failed in some runs and passed in others. Traced with three values of PYTHONHASHSEED: answers that entries are owed, members to be asked again, homes that a claimed flow is denied to, and the members of a search were gone through in the order of a set of addresses.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -10,6 +10,7 @@
 import random
 
 from . import tunnel
+from .endings import Endings
 from .flows import Flow, Flows, Standing
 from .homes import Home
 from .members import Roster
@@ -58,6 +59,7 @@
         super().__init__(address, data_centre, codec, links, log, rng)
         self.target = target
         self.flows = Flows()
+        self.endings = Endings(self, target, self.flows)
         self._expire_at = float("-inf")
         self.membership = Membership(self, target, self.flows, incarnation)
         self.trials = Trials(self.flows, target, links, self._found)
@@ -113,7 +115,7 @@
             return False
         replaced = self.target.beat(now, beat)
         if replaced:
-            self._end_all("target.replaced", self.target.former_until)
+            self.endings.end_all("target.replaced", self.target.former_until)
         if beat.service != former:
             self._change_service(beat.service)
         self.membership.tick(now)
@@ -175,7 +177,7 @@
         self.formers.tick(now)
         self.openings.tick(now)
         if self.target.is_dead(now) and len(self.flows):
-            self._end_all("target.silent", now)
+            self.endings.end_all("target.silent", now)
         self.trials.tick(now)
         self.home.tick(now)
         self.membership.waiting = len(self.openings.waiting)
@@ -265,7 +267,7 @@
             self.log.event(
                 "reset.no_route", flow=packet.flow, version=self.routes.version
             )
-            self._reset(packet.flow, packet.acknowledged)
+            self.endings.reset(packet.flow, packet.acknowledged)
             return False
         if packet.is_opening and not self._leads_here(route, packet):
             self.log.event("drop.stale_route", flow=packet.flow, version=head.version)
@@ -465,7 +467,7 @@
             return
         self.flows.drop(flow.key)
         if flow.standing is Standing.OPEN and flow.first is not None:
-            self._lost(flow, packet)
+            self.endings.lost(flow, packet)
         else:
             self._disown(now, flow)
 
@@ -478,23 +480,9 @@
         """
         self.log.event("flow.disowned", flow=flow.key, homes=flow.homes)
         self.trials.denied(now, flow.key)
-        for home in {*flow.homes, self.address}:
+        for home in dict.fromkeys((*flow.homes, self.address)):
             self.registry.deny(now, home, flow.key)
 
-    def _lost(self, flow: Flow, packet: Packet) -> None:
-        """End a flow that the target held and doesn't hold any more.
-
-        It has crashed and started again; the client may try anew at once
-        instead of waiting until its time is over.
-        """
-        self.log.event(
-            "reset.lost_by_target",
-            flow=flow.key,
-            request=flow.request,
-            target=self.target.name,
-        )
-        self._reset(flow.key, packet.acknowledged)
-
     def _found(self, now: float, flow: Flow) -> None:
         self.log.event("flow.found", flow=flow.key, asker=flow.asker)
         # Also if this agent isn't its home: a search that was begun here would
@@ -514,29 +502,3 @@
             self.home.learn(now, owner, flows)
         else:
             self.home.denied(now, sender, flows)
-
-    def _end_all(self, why: str, until: float) -> None:
-        """Reset the flows that a target took until it ended.
-
-        Nobody holds them any more; their clients may try anew at once. What
-        goes wrong without the time: a new target takes flows before its first
-        heartbeat, and they are reset as if they were the former one's.
-        """
-        ended = [
-            flow
-            for flow in self.flows.by_key.values()
-            if flow.standing is Standing.OPEN and flow.since <= until
-        ]
-        if not ended:
-            return
-        self.log.event("reset.all", why=why, flows=len(ended), target=self.target.name)
-        for flow in ended:
-            self.log.event(
-                "reset.target_ended", flow=flow.key, request=flow.request, why=why
-            )
-            self.flows.drop(flow.key)
-            self._reset(flow.key, flow.acknowledged)
-
-    def _reset(self, key: bytes, acknowledged: int) -> None:
-        self.log.count("resets")
-        self.links.to_client(key, self.codec.reset(key, acknowledged))
--- /dev/null
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/endings.py
@@ -0,0 +1,72 @@
+"""Resets of flows that an agent's target doesn't hold any more."""
+
+from __future__ import annotations
+
+from .flows import Flow, Flows, Standing
+from .models import Packet
+from .node import Node
+from .target import Target
+
+__all__ = ["Endings"]
+
+
+class Endings:
+    """The resets of one agent.
+
+    Parameters
+    ----------
+    node : Node
+        The agent; sends and logs.
+    target : Target
+        What is known of the target.
+    flows : Flows
+        The flows that may have ended.
+    """
+
+    def __init__(self, node: Node, target: Target, flows: Flows) -> None:
+        self._node = node
+        self._target = target
+        self._flows = flows
+
+    def end_all(self, why: str, until: float) -> None:
+        """Reset the flows that a target took until it ended.
+
+        Nobody holds them any more; their clients may try anew at once. What
+        goes wrong without the time: a new target takes flows before its first
+        heartbeat, and they are reset as if they were the former one's.
+        """
+        ended = [
+            flow
+            for flow in self._flows.by_key.values()
+            if flow.standing is Standing.OPEN and flow.since <= until
+        ]
+        if not ended:
+            return
+        self._node.log.event(
+            "reset.all", why=why, flows=len(ended), target=self._target.name
+        )
+        for flow in ended:
+            self._node.log.event(
+                "reset.target_ended", flow=flow.key, request=flow.request, why=why
+            )
+            self._flows.drop(flow.key)
+            self.reset(flow.key, flow.acknowledged)
+
+    def lost(self, flow: Flow, packet: Packet) -> None:
+        """End a flow that the target held and doesn't hold any more.
+
+        It has crashed and started again; the client may try anew at once
+        instead of waiting until its time is over.
+        """
+        self._node.log.event(
+            "reset.lost_by_target",
+            flow=flow.key,
+            request=flow.request,
+            target=self._target.name,
+        )
+        self.reset(flow.key, packet.acknowledged)
+
+    def reset(self, key: bytes, acknowledged: int) -> None:
+        """Reset one flow, whose client has acknowledged so far."""
+        self._node.log.count("resets")
+        self._node.links.to_client(key, self._node.codec.reset(key, acknowledged))
--- a/packages/zinniahook-core/src/zinniahook_core/packets/members.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/members.py
@@ -116,7 +116,7 @@
     homes: bool
 
     def told(self) -> dict[str, Any]:
-        """Return what a line of the log tells: numbers, and some of the names."""
+        """Return what a line of the log tells: some names, and how many more."""
         return {
             "come": self.come[:NAMES_TOLD],
             "gone": self.gone[:NAMES_TOLD],
@@ -143,7 +143,7 @@
         self._begun = float("-inf")
         self._here: set[str] = set()
         self._seated: set[str] = set()
-        self._asked: set[str] = set()
+        self._asked: dict[str, None] = {}
         self._ring = Ring()
         self._rings_by_zone: dict[int, Ring] = {}
         self._reviewed_at = float("-inf")
@@ -267,7 +267,7 @@
         if member is not None and member.waiting_since is None:
             member.waiting_since = now
             member.asked_at = now
-            self._asked.add(address)
+            self._asked[address] = None
 
     def unanswered(self, now: float) -> list[str]:
         """Return the members that are due for a question once more."""
@@ -276,7 +276,7 @@
             member = self.by_address.get(address)
             since = member.waiting_since if member is not None else None
             if since is None or now - since > PEER_UNANSWERED_AFTER:
-                self._asked.discard(address)
+                del self._asked[address]
             elif now - member.asked_at >= ASKED_AGAIN_AFTER:
                 member.asked_at = now
                 due.append(address)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
@@ -23,7 +23,8 @@
 """Parts into which the statuses of one interval are split at most."""
 
 TELLERS = 8
-"""Agents that tell each entry of a new one; who isn't among them is silent."""
+"""Agents that tell an entry of a new one, drawn by lot among all that know it. If
+all did, a new agent would cost a datagram from each agent to each entry."""
 
 ENTRIES_LIMIT = 1024
 ENTRY_KEPT = 30.0
@@ -60,7 +61,8 @@
         self._said_at = NEVER
         self._due = 0.0
         self._rotation: list[str] = []
-        self._owed: set[str] = set()
+        # In order, as a set's would differ from process to process.
+        self._owed: dict[str, None] = {}
         self._roster_at = NEVER
         self._seen_by_entry: dict[str, float] = {}
         self._told_by_entry: dict[str, float] = {}
@@ -154,7 +156,7 @@
         if now - self._told_by_entry.get(entry, NEVER) >= ENTRY_STATUS_EVERY:
             self._tell_entry(now, entry, self._status(now))
         else:
-            self._owed.add(entry)
+            self._owed[entry] = None
 
     def _tell_all(self, now: float) -> None:
         """Tell everybody that the state has changed."""
@@ -213,7 +215,7 @@
     def _tell_entry(self, now: float, entry: str, body: bytes) -> None:
         told = self._told_by_entry.get(entry, NEVER)
         self._told_by_entry[entry] = now
-        self._owed.discard(entry)
+        self._owed.pop(entry, None)
         self._send(now, entry, body)
         if self.roster.newest_at <= told or told == NEVER:
             return
--- a/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
@@ -299,7 +299,7 @@
             self._give_back_all(now, search, Mark.UNSURE)
 
     def _ask(self, now: float, search: Search, names: Iterable[str]) -> None:
-        for name in names:
+        for name in sorted(names):
             search.waiting.add(name)
             self.node.pass_on(now, search.head, search.packet, name, Mark.SEARCH)
 
--- a/packages/zinniahook-testkit/tests/test_packet_scale.py
+++ b/packages/zinniahook-testkit/tests/test_packet_scale.py
@@ -1,5 +1,8 @@
 """What a flow costs, and who may have it, in services of many agents."""
 
+import os
+import subprocess
+import sys
 from collections import Counter
 
 import pytest
@@ -266,6 +269,39 @@
         assert len(late) / len(flows) < 0.02
 
 
+class TestSameRunEachTime:
+    """Symptom: a seed fails in one run and passes in the next.
+
+    Sequence: the same world in two processes. Cause: a daemon sent to others in
+    the order of a set of strings, which is another one in each process.
+    """
+
+    STORY = """
+from zinniahook_testkit.packetworlds import PacketWorld
+world = PacketWorld(1, {"tally": 24}, loss=0.02)
+flows = [world.open_flow() for _ in range(40)]
+world.run(1.0)
+for agent in world.agents_by_address.values():
+    world.start_agent(agent)
+for flow in flows:
+    world.ask(flow)
+world.run(2.0)
+print(hash(tuple(map(len, (world.log.lines, world.foreign, world.owned)))))
+print([(name, str(fields)) for name, fields in world.log.lines])
+"""
+
+    def test_does_not_depend_on_the_process(self):
+        told = {self._run(seed) for seed in ("1", "2", "3")}
+        assert len(told) == 1
+
+    def _run(self, seed):
+        environment = {**os.environ, "PYTHONHASHSEED": seed}
+        command = [sys.executable, "-c", self.STORY]
+        return subprocess.run(
+            command, env=environment, capture_output=True, check=True
+        ).stdout
+
+
 class TestFlowsClaimedByMistake:
     """Symptom: for seconds a flow's packets reach another target only, though
     its own lives.
