Let an agent that starts ask a few peers whom they hear

TestLostFlowsAfterPowerLoss[1]: a search looked again each 0.3 s and so concluded up to that much after it might.

Change: the first four peers that an agent meets are asked for their rosters; late questions of a search come each 0.2 s.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
@@ -19,6 +19,9 @@
 """Seconds between rosters to an entry drawn by lot. What goes wrong without:
 an entry that has missed a new agent never sends anything there."""
 
+MEMBERS_ASKED = 4
+"""Peers that an agent asks at its start; some may be away themselves."""
+
 TURNS = 2
 """Parts into which the statuses of one interval are split at most."""
 
@@ -64,6 +67,7 @@
         # In order, as a set's would differ from process to process.
         self._owed: dict[str, None] = {}
         self._roster_at = NEVER
+        self._members_asked = 0
         self._seen_by_entry: dict[str, float] = {}
         self._told_by_entry: dict[str, float] = {}
         self.roster = self._new_roster()
@@ -140,8 +144,16 @@
             self._send_rows(now, address, self.roster.rows(now))
 
     def introduce(self, now: float, address: str) -> None:
-        """Tell an agent that has just become known of this one."""
+        """Tell an agent that has just become known of this one.
+
+        The first few are asked whom they hear. What goes wrong without: this
+        agent has just started, never heard one that is away for a moment, takes
+        it for long gone, and resets the flows that its target holds.
+        """
         self._send(now, address, self._status(now))
+        if self._members_asked < MEMBERS_ASKED:
+            self._members_asked += 1
+            self._node.hello(now, address, Wish.MEMBERS)
 
     def note_entry(self, now: float, entry: str) -> None:
         """Note that an entry sent a packet, and answer it now and then.
--- a/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
@@ -45,7 +45,7 @@
 """Seconds of a search after which the silent are asked at longer pauses: most
 of them are gone."""
 
-SEARCH_REPEAT_LATE = 0.3
+SEARCH_REPEAT_LATE = 0.2
 
 HELD_LIMIT = 16
 """Packets kept for a search: what a client may have in flight."""
--- a/packages/zinniahook-testkit/tests/test_packet_scale.py
+++ b/packages/zinniahook-testkit/tests/test_packet_scale.py
@@ -302,6 +302,28 @@
         ).stdout
 
 
+class TestAgentThatStartsWhileAnotherIsAway:
+    """Symptom: open flows are reset 1.4 s after two agents went away.
+
+    Sequence: one is away for 2.5 s, another starts again after 0.1 s and is
+    asked for flows of the first one. Cause: it never heard the first one, and
+    nobody told it that others did.
+    """
+
+    def test_resets_no_flow(self):
+        world = PacketWorld(50)
+        flows = [world.open_flow() for _ in range(30)]
+        world.run(0.52)
+        restarted, away = agents(world)[0], agents(world)[4]
+        restarted.core = away.core = None
+        world.at(0.1, lambda: world.start_agent(restarted))
+        world.at(2.5, lambda: world.start_agent(away))
+        for flow in flows:
+            world.ask(flow)
+        world.run(6.0)
+        assert world.findings() == []
+
+
 class TestFlowsClaimedByMistake:
     """Symptom: for seconds a flow's packets reach another target only, though
     its own lives.
