Keep the operator's evacuations, and hold cold targets to their rate

Nothing limited what a cold target gets. Change: a daemon that looks at the store reads the evacuated data centres in the call that tells it the revision, so at no call more; the set is ordered by that revision and never goes back; each datagram shows its stamp, and whoever has an older one asks. The agent beside a target has the last word, and offers nothing while it knows of a newer set that it hasn't got, or knows none. Homes place elsewhere; waiting openings are handed on; a copy of an opening that the target answered goes to it; if everything is evacuated, openings are reset at once. A cold target of a service that tells a rate gets rate x excess + burst openings in any second, counted by its agent; what an earlier process let pass counts.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/__init__.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/__init__.py
@@ -19,12 +19,14 @@
     State,
     Urgency,
 )
+from .pace import ColdLimit
 from .target import Target
 
 __all__ = [
     "Agent",
     "Beat",
     "Codec",
+    "ColdLimit",
     "Entry",
     "Flag",
     "Links",
--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -18,6 +18,7 @@
 from .models import Beat, Codec, Flag, Links, Log, Packet, Route, route_key
 from .node import HOP_LIMIT, Node
 from .openings import Openings
+from .pace import ColdLimit, Pace
 from .registry import Registry
 from .searches import Taken
 from .target import Target
@@ -41,6 +42,8 @@
         What is known of the target.
     incarnation : int
         Number of this process, higher than that of the one before.
+    cold_limit : ColdLimit, optional
+        What a cold target may get in a second; without, any number.
 
     The other parameters are those of `Node`.
     """
@@ -55,6 +58,7 @@
         rng: random.Random,
         target: Target,
         incarnation: int,
+        cold_limit: ColdLimit | None = None,
     ) -> None:
         super().__init__(address, data_centre, codec, links, log, rng)
         self.target = target
@@ -63,12 +67,14 @@
         self._expire_at = float("-inf")
         self.membership = Membership(self, target, self.flows, incarnation)
         self.trials = Trials(self.flows, target, links, self._found)
-        self.openings = Openings(self, target, self.flows, self.membership)
+        self._pace = Pace(cold_limit)
+        self.openings = Openings(self, target, self.flows, self.membership, self._pace)
         self._make_home()
 
     def start(self, now: float) -> None:
         """Begin; flows may be older than this process for a while."""
         self.target.start(now)
+        self._pace.start(now)
         self.trials.start(now)
         self.freshness.wait(now)
 
@@ -92,6 +98,13 @@
         if service == self.target.service:
             self.membership.learn_member(now, address, zone_tag(centre), order)
 
+    def _evacuated(self, now: float) -> None:
+        self.roster.closed = self.evacuations.tags
+        self.target.doubt(now)
+        super()._evacuated(now)
+        self.openings.tick(now)
+        self.membership.tick(now)
+
     def neighbours(self, now: float) -> list[str]:
         """Return the peers, then the entries that send here."""
         peers = [name for name in self.roster.present(now) if name != self.address]
@@ -181,6 +194,7 @@
         self.trials.tick(now)
         self.home.tick(now)
         self.membership.waiting = len(self.openings.waiting)
+        self.membership.held_back = self.openings.is_held_back(now)
         self.membership.tick(now)
         if self.roster.is_due(now):
             self._review(now)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
@@ -38,6 +38,11 @@
 """Seconds within which a repeated opening goes to the same agent again: it is
 a duplicate of the network, not a client that waited for 0.2 s."""
 
+BUSY = frozenset((Reason.FULL, Reason.LEAVING, Reason.EVACUATED))
+"""Reasons for which an agent won't take the client's next copy either."""
+
+NO_TAKER = "drop.no_taker"
+
 
 @dataclass(slots=True)
 class Placement:
@@ -145,7 +150,7 @@
             self._placements[packet.flow] = made
         made.refused[sender] = head.reason
         if head.hops >= HOP_LIMIT:
-            self._give_up(packet, made)
+            self._give_up(now, packet, made)
             return
         self._place_elsewhere(now, head, packet, made)
 
@@ -184,7 +189,7 @@
         takers = freshest(now, self.node.address, takers)
         chosen = self._choose(takers, head, packet)
         if chosen is None:
-            self._give_up(packet, made)
+            self._give_up(now, packet, made)
             return
         made.tried.append(chosen.address)
         made.at = now
@@ -232,26 +237,36 @@
             made.refused[address] = reason
             self._place_elsewhere(now, head, packet, made)
 
-    def _give_up(self, packet: Packet, made: Placement) -> None:
+    def _give_up(self, now: float, packet: Packet, made: Placement) -> None:
         """End an opening that certainly can't be served, at once.
 
-        Only if every agent tried was full: one that is restarting or whose
-        target has just died may take the client's next copy.
+        Only if every agent tried was full, or all are evacuated: one that is
+        restarting or whose target has just died may take the client's next copy.
         """
-        reasons = set(made.refused.values())
-        full = bool(reasons) and reasons <= {Reason.FULL, Reason.LEAVING}
-        ended = full and Reason.FULL in reasons
+        outcome = self._outcome(now, packet, made)
         self.node.log.event(
-            "reset.full" if ended else "drop.no_taker",
+            outcome,
             flow=packet.flow,
             opening=packet.sequence,
             tried=made.tried,
             refused=made.refused,
         )
-        if ended:
+        if outcome != NO_TAKER:
             reset = self.node.codec.reset(packet.flow, packet.acknowledged)
             self.node.links.to_client(packet.flow, reset)
 
+    def _outcome(self, now: float, packet: Packet, made: Placement) -> str:
+        """Return how an opening that nobody takes ends."""
+        reasons = set(made.refused.values())
+        if Reason.FULL in reasons and reasons <= BUSY:
+            return "reset.full"
+        # A copy may follow one that another home has placed, and whose target
+        # has answered: a reset would end an open flow.
+        first = not made.tried and not packet.acknowledged
+        if first and self.node.evacuations.is_certain and self.roster.is_closed(now):
+            return "reset.evacuated"
+        return NO_TAKER
+
     # Packets of open flows
 
     def learn(self, now: float, owner: str, flows: list[bytes]) -> None:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/members.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/members.py
@@ -133,6 +133,8 @@
         Name of the service.
     own : str
         Address of this daemon, if it is a member itself; it is never silent.
+
+    ``closed`` are the tags of data centres whose members open no flows.
     """
 
     def __init__(self, service: str, own: str = "") -> None:
@@ -148,6 +150,7 @@
         self._rings_by_zone: dict[int, Ring] = {}
         self._reviewed_at = float("-inf")
         self.newest_at = float("-inf")
+        self.closed: frozenset[int] = frozenset()
         self._counted()
 
     @property
@@ -416,7 +419,9 @@
         here = [
             member
             for member in members
-            if member.address not in without and not self.is_silent(now, member)
+            if member.address not in without
+            and member.zone not in self.closed
+            and not self.is_silent(now, member)
         ]
         takers: list[Member] = []
         for state in (State.READY, State.ANSWERING):
@@ -428,6 +433,14 @@
             return starting
         return takers + [m for m in starting if m.has_room and not m.placed]
 
+    def is_closed(self, now: float) -> bool:
+        """Tell whether every member that is here stands in a closed data centre."""
+        members = self.by_address.values()
+        return bool(self.closed) and all(
+            member.zone in self.closed or self.is_silent(now, member)
+            for member in members
+        )
+
     def absent(self, now: float, among: Iterable[Member]) -> list[str]:
         """Return those that are silent but may still hold flows."""
         return [m.address for m in among if self.is_silent(now, m)]
--- a/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
@@ -57,6 +57,7 @@
     ) -> None:
         self.leaving = False
         self.waiting = 0
+        self.held_back = False
         self._node = node
         self._target = target
         self._flows = flows
@@ -100,11 +101,21 @@
     def _new_roster(self) -> Roster:
         roster = Roster(self._target.service, self._node.address)
         roster.add(0.0, self._node.address, self._node.zone)
+        roster.closed = self._node.evacuations.tags
         return roster
 
     def state(self, now: float) -> State:
         """Return what this agent tells the others of itself."""
-        return State.LEAVING if self.leaving else self._target.state(now)
+        if self.leaving:
+            return State.LEAVING
+        state = self._target.state(now)
+        takes = state in (State.READY, State.ANSWERING)
+        return State.LEAVING if takes and self.is_evacuated else state
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the operator wants nothing new to go to this data centre."""
+        return self._node.zone in self._node.evacuations.tags
 
     # Telling
 
@@ -245,7 +256,7 @@
     def _status(self, now: float) -> bytes:
         """Return the status, which is also what this agent places by."""
         busy = self._flows.load(now) + self.waiting
-        if self._target.refuses(now):
+        if self._target.refuses(now) or self.held_back:
             busy += self.slots
         status = Status(
             self._incarnation,
--- a/packages/zinniahook-core/src/zinniahook_core/packets/models.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/models.py
@@ -175,12 +175,15 @@
 
     ``by_address`` is keyed by the last six bytes of a flow's key;
     ``document`` is the text it was read from, given to other daemons as it is.
+    ``cold_rates`` are the requests a second that a cold target bears, by service;
+    services that tell none aren't in it.
     """
 
     version: int
     by_address: dict[bytes, Route]
     idle_timeout: float
     document: bytes
+    cold_rates: dict[str, float] = {}
 
     @classmethod
     def none(cls) -> Routes:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/node.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/node.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from . import tunnel
+from .evacuations import Evacuations, Stamp
 from .formers import Former, Formers
 from .freshness import Freshness
 from .member import Row
@@ -62,6 +63,7 @@
         self.routes = Routes.none()
         self.freshness = Freshness(address, rng)
         self.formers = Formers()
+        self.evacuations = Evacuations()
         self.zone = zone_tag(data_centre)
 
     def configure(
@@ -89,10 +91,28 @@
             former=former,
             routes=len(routes.by_address),
         )
+        self._show(now)
+        return True
+
+    def _show(self, now: float) -> None:
+        """Show a few daemons what is new here; they show it to others."""
         others = self.neighbours(now)
         for address in self.rng.sample(others, min(NEWS_WIDTH, len(others))):
             self.hello(now, address, Wish.NOTHING)
-        return True
+
+    def evacuate(self, now: float, revision: int, names: frozenset[str]) -> None:
+        """Take which data centres the store lists as evacuated at a revision."""
+        if self.evacuations.read(revision, names):
+            self._evacuated(now)
+
+    def _evacuated(self, now: float) -> None:
+        """Note that another set of evacuated data centres is in force."""
+        self.log.event(
+            "evacuations.installed",
+            centres=sorted(self.evacuations.names),
+            revision=self.evacuations.stamp.revision,
+        )
+        self._show(now)
 
     def candidates(self, now: float, flow: bytes) -> list[str]:
         """Return the services that may own a flow, the likeliest first."""
@@ -137,6 +157,7 @@
             service,
             like.entry if like else self.address,
             freshness.watcher,
+            *self.evacuations.stamp,
         )
         self.links.to_peer(address, tunnel.encode(head, body))
 
@@ -163,9 +184,33 @@
             self.log.count("datagrams.malformed")
             return
         head, body = decoded
-        if self.freshness.heard(now, head.watcher, head.version, head.age):
+        self._compare(now, sender, head)
+        if head.kind is Kind.EVACUATIONS:
+            self._evacuations_told(now, body)
+        elif head.kind is Kind.HELLO and head.reason == Wish.EVACUATIONS:
+            self.send(now, sender, Kind.EVACUATIONS, self.evacuations.encode())
+        else:
+            self.handle(now, sender, head, body)
+
+    def _compare(self, now: float, sender: str, head: Head) -> None:
+        """Ask a daemon for what it has newer than this one.
+
+        Its confirmation counts only if both have the same evacuations: it is one
+        of both documents.
+        """
+        stamp = Stamp(head.evacuated_at, head.evacuated)
+        if self.evacuations.shown(stamp) and self.evacuations.may_ask(now):
+            self.hello(now, sender, Wish.EVACUATIONS)
+        age = head.age if self.evacuations.agrees(stamp) else None
+        if self.freshness.heard(now, head.watcher, head.version, age):
             self.links.fetch(sender)
-        self.handle(now, sender, head, body)
+
+    def _evacuations_told(self, now: float, body: bytes) -> None:
+        changed = self.evacuations.told(body)
+        if changed is None:
+            self.log.count("datagrams.malformed")
+        elif changed:
+            self._evacuated(now)
 
     def handle(self, now: float, sender: str, head: Head, body: bytes) -> None:
         """Handle a datagram whose head was read."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/openings.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/openings.py
@@ -8,6 +8,7 @@
 from .membership import Membership
 from .models import Packet, State, Urgency, route_key
 from .node import Node
+from .pace import Pace
 from .target import ANSWER_TIMEOUT, Target
 from .tunnel import Head, Kind, Reason, tag
 from .waiting import QUEUE_EXTRA, Opening, Waiting
@@ -22,6 +23,10 @@
 """Waiting openings without a free peer that are looked at in a tick."""
 
 
+STAYS = frozenset((Reason.LEAVING, Reason.EVACUATED))
+"""Reasons for which an agent takes nothing new, but keeps what it has."""
+
+
 class Placer(Protocol):
     """The home of this agent, which places openings that it can't take."""
 
@@ -45,30 +50,44 @@
         Offered flows stand there too.
     membership : Membership
         Tells whether this agent takes openings.
+    pace : Pace
+        Limits what a cold target gets.
     """
 
     home: Placer
 
     def __init__(
-        self, node: Node, target: Target, flows: Flows, membership: Membership
+        self,
+        node: Node,
+        target: Target,
+        flows: Flows,
+        membership: Membership,
+        pace: Pace,
     ) -> None:
         self.waiting = Waiting()
         self._node = node
         self._target = target
         self._flows = flows
         self._membership = membership
+        self._pace = pace
         self._offered_at: dict[bytes, float] = {}
 
     def take(self, now: float, home: str, head: Head, packet: Packet) -> Reason:
-        """Offer an opening to the target, or let it wait; return why not."""
-        state = self._membership.state(now)
-        if state is State.LEAVING:
-            return Reason.LEAVING
-        if state is State.DOWN:
-            return Reason.SILENT
+        """Offer an opening to the target, or let it wait; return why not.
+
+        It waits, too, while this agent may lack an order to evacuate its data
+        centre. It has the last word: the home may know less.
+        """
         flow = self._flows.get(packet.flow)
-        if flow is None or flow.client_first != packet.sequence:
-            if not self._has_room:
+        known = flow is not None and flow.client_first == packet.sequence
+        reason = self._refusal(now)
+        # A copy of an opening that the target has answered is no new work. What
+        # goes wrong if it goes elsewhere: the flow stands at two targets.
+        answered = known and flow is not None and flow.first is not None
+        if reason is not Reason.NONE and not (reason in STAYS and answered):
+            return reason
+        if flow is None or not known:
+            if not self._may_offer(now):
                 urgency = self._urgency(packet)
                 self.waiting.add(now, home, head, packet, urgency)
                 return Reason.NONE
@@ -98,7 +117,7 @@
 
     def admit(self, now: float) -> None:
         """Offer waiting openings while the target has room."""
-        while self._has_room:
+        while self._may_offer(now):
             opening = self._next(now)
             if opening is None:
                 return
@@ -115,13 +134,37 @@
             )
         if not len(self.waiting):
             return
-        if self._membership.state(now) in (State.LEAVING, State.DOWN):
+        reason = self._refusal(now)
+        if reason is not Reason.NONE:
             for opening in self.waiting.clear():
-                self._refuse_waiting(now, opening, Reason.LEAVING)
+                self._refuse_waiting(now, opening, reason)
             return
         self.admit(now)
         self._move(now)
 
+    def _refusal(self, now: float) -> Reason:
+        """Return why no opening is taken, if so."""
+        if self._membership.is_evacuated:
+            return Reason.EVACUATED
+        state = self._membership.state(now)
+        if state is State.LEAVING:
+            return Reason.LEAVING
+        if state is State.DOWN:
+            return Reason.SILENT
+        return Reason.NONE
+
+    def is_held_back(self, now: float) -> bool:
+        """Tell whether a cold target must get nothing for now."""
+        if not self._target.may_be_cold(now):
+            return False
+        rate = self._node.routes.cold_rates.get(self._target.service, 0.0)
+        return not self._pace.allows(now, rate)
+
+    def _may_offer(self, now: float) -> bool:
+        """Tell whether the target may get an opening now."""
+        certain = self._node.evacuations.is_certain
+        return self._has_room and certain and not self.is_held_back(now)
+
     @property
     def _has_room(self) -> bool:
         return self._flows.busy < self._membership.slots + QUEUE_EXTRA
@@ -137,6 +180,7 @@
         )
         self._flows.add(flow)
         self._flows.asked(now, flow)
+        self._pace.offered(now)
         return flow
 
     def _move(self, now: float) -> None:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/target.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/target.py
@@ -66,6 +66,7 @@
         self._since = float("-inf")
         self._answers = False
         self._warm_at = 0.0
+        self._doubted_at = float("-inf")
         self._beat_at = float("-inf")
         self._heard_at = float("-inf")
         self._silent_since: float | None = None
@@ -75,6 +76,7 @@
     def start(self, now: float) -> None:
         """Note when the agent began to look at the target."""
         self._since = now
+        self.doubt(now)
 
     def beat(self, now: float, beat: Beat) -> bool:
         """Take a heartbeat; return whether a new target has started.
@@ -158,8 +160,9 @@
         return self._heard_at > moment
 
     def refused(self, now: float) -> None:
-        """Note that the target returned an opening."""
+        """Note that the target returned an opening; it may have just started."""
         self._refused_at = now
+        self.doubt(now)
 
     def refuses(self, now: float) -> bool:
         """Tell whether the target returned an opening lately.
@@ -191,6 +194,7 @@
         """Note that an opening given to the target at ``since`` has no answer."""
         if self._heard_at < since and self._silent_since is None:
             self._silent_since = now
+            self.doubt(now)
 
     def answered(self, seconds: float) -> None:
         """Take the time that a request took until its answer began."""
@@ -202,6 +206,18 @@
         """Return the seconds for which the target stays slow."""
         return max(0.0, self._warm_at - now)
 
+    def doubt(self, now: float) -> None:
+        """Note that the target may have become cold without telling yet."""
+        self._doubted_at = now
+
+    def may_be_cold(self, now: float) -> bool:
+        """Tell whether the target may be slow for now.
+
+        What goes wrong with its word alone: it has just started, or its data
+        centre is taken back, and until its next heartbeat it passes for warm.
+        """
+        return self._beat_at <= self._doubted_at or self.warming(now) > 0
+
     def state(self, now: float) -> State:
         """Return what others should think of the target."""
         if self.leaving:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/tunnel.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/tunnel.py
@@ -39,7 +39,7 @@
     "zone_tag",
 ]
 
-HEAD = struct.Struct("!BBBBIHHI4s4s")
+HEAD = struct.Struct("!BBBBIHHI4s4sQI")
 STATUS = struct.Struct("!QBHHHBH")
 FLOW_SIZE = 12
 ADDRESS_SIZE = 4
@@ -90,6 +90,9 @@
     RELAY = 8
     """A client's packet for an agent that its sender can't reach itself."""
 
+    EVACUATIONS = 9
+    """Tells which data centres are evacuated."""
+
 
 KINDS = {int(kind): kind for kind in Kind}
 
@@ -133,6 +136,9 @@
     UNOWNED = 6
     """No agent of the service is known to own the flow."""
 
+    EVACUATED = 7
+    """The operator wants nothing new to go to the agent's data centre."""
+
 
 class Wish(enum.IntEnum):
     """What a hello asks for, told in place of a reason."""
@@ -144,6 +150,9 @@
     NOTHING = 2
     """It only shows its sender's configuration."""
 
+    EVACUATIONS = 3
+    """Which data centres are evacuated."""
+
 
 class Head(NamedTuple):
     """The fixed part of every datagram.
@@ -152,6 +161,8 @@
     ``zone`` is the tag of the data centre it came to, ``service`` that of the
     service it is for, ``age`` is how
     many seconds ago ``watcher`` saw ``version`` as the newest, None if never.
+    ``evacuated_at`` and ``evacuated`` are the stamp of the sender's set of
+    evacuated data centres; see `evacuations`.
     """
 
     kind: Kind
@@ -164,6 +175,8 @@
     service: int = 0
     entry: str = NOBODY
     watcher: str = NOBODY
+    evacuated_at: int = 0
+    evacuated: int = 0
 
 
 @functools.lru_cache(maxsize=ADDRESSES_KEPT)
@@ -206,6 +219,8 @@
         head.service,
         _packed(head.entry),
         _packed(head.watcher),
+        head.evacuated_at,
+        head.evacuated,
     )
     return packed + body
 
@@ -214,9 +229,20 @@
     """Return the head and the body of a datagram, None if it is no such one."""
     if len(data) < HEAD.size or data[0] & 0xF0 != MAGIC:
         return None
-    first, marks, hops, reason, version, units, zone, service, entry, watcher = (
-        HEAD.unpack_from(data)
-    )
+    (
+        first,
+        marks,
+        hops,
+        reason,
+        version,
+        units,
+        zone,
+        service,
+        entry,
+        watcher,
+        evacuated_at,
+        evacuated,
+    ) = HEAD.unpack_from(data)
     kind = first & 0x0F
     if kind not in KINDS:
         return None
@@ -232,6 +258,8 @@
         service,
         _text(entry),
         _text(watcher),
+        evacuated_at,
+        evacuated,
     )
     return head, data[HEAD.size :]
 
--- /dev/null
+++ b/packages/zinniahook-core/tests/test_packet_pace.py
@@ -0,0 +1,48 @@
+"""How many openings a cold target may get in a second."""
+
+import random
+
+from zinniahook_core.packets.pace import WINDOW, ColdLimit, Pace
+
+LIMIT = ColdLimit(1.5, 5)
+RATE = 4.0
+MOST = 11
+
+
+def most_in_a_second(moments):
+    return max(sum(0 <= t - first <= 1.0 for t in moments) for first in moments)
+
+
+class TestPace:
+    def test_any_second_holds_what_is_allowed(self):
+        rng, pace, offered, now = random.Random(3), Pace(LIMIT), [], 0.0
+        for _ in range(3000):
+            now += rng.expovariate(60.0)
+            if pace.allows(now, RATE):
+                pace.offered(now)
+                offered.append(now)
+        assert most_in_a_second(offered) == MOST
+        assert len(offered) > 0.8 * MOST * now / WINDOW
+
+    def test_a_service_that_tells_no_rate_has_no_limit(self):
+        pace = Pace(LIMIT)
+        for number in range(100):
+            pace.offered(number / 1000)
+        assert pace.allows(0.2, 0.0)
+
+    def test_operators_that_tell_no_limit_have_none(self):
+        pace = Pace()
+        for number in range(100):
+            pace.offered(number / 1000)
+        assert pace.allows(0.2, RATE)
+
+    def test_a_process_that_starts_waits_for_a_second(self):
+        """Symptom: a cold target gets twice what it bears.
+
+        Sequence: its agent lets pass what a second holds, is killed and starts
+        again. Cause: the new process counts from nothing.
+        """
+        pace = Pace(LIMIT)
+        pace.start(10.0)
+        assert not pace.allows(10.0 + WINDOW / 2, RATE)
+        assert pace.allows(10.0 + WINDOW, RATE)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/daemon.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/daemon.py
@@ -218,6 +218,7 @@
         return {
             "configuration_version": self.core.routes.version,
             "configuration_age_seconds": -1.0 if age is None else round(age, 3),
+            "data_centres_evacuated": len(self.core.evacuations.names),
         }
 
     async def _tick(self) -> None:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/ports.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/ports.py
@@ -10,10 +10,11 @@
 
 from zinniahook_core.codes import Code, ZinniahookError
 from zinniahook_core.models import Address
-from zinniahook_core.packets import Routes
+from zinniahook_core.packets import ColdLimit, Routes
 
 __all__ = [
     "Announced",
+    "Evacuated",
     "Kept",
     "Settings",
     "Store",
@@ -40,6 +41,16 @@
     order: int = 0
 
 
+class Evacuated(NamedTuple):
+    """The data centres that were evacuated at a revision of the store.
+
+    The revision is a number that grows with each change of anything there.
+    """
+
+    revision: int
+    data_centres: frozenset[str]
+
+
 class Kept(NamedTuple):
     """A value that daemons keep in the store; revision 0 if it isn't there."""
 
@@ -54,8 +65,8 @@
     async def configuration(self) -> tuple[Routes, int]:
         """Read the newest configuration, and the revision of the store."""
 
-    async def revision(self) -> int:
-        """Return a number that grows with each change of anything."""
+    async def evacuated(self) -> Evacuated:
+        """Return which data centres are evacuated, as one snapshot."""
 
     async def announced(self, service: str | None) -> list[Announced]:
         """Return the agents of a service, or some of any."""
@@ -90,6 +101,7 @@
 
     ``inner_port`` is where daemons speak to each other, over UDP and TCP;
     ``client_port`` is where clients receive packets. Times are seconds.
+    ``cold_limit`` is what operators allow cold targets, None if it is up to them.
     """
 
     name: str
@@ -105,3 +117,4 @@
     target: Address | None = None
     outbound: Address | None = None
     metrics: Address | None = None
+    cold_limit: ColdLimit | None = None
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/roles.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/roles.py
@@ -114,6 +114,7 @@
             self.rng,
             target,
             time.time_ns() // 1_000_000,
+            self.settings.cold_limit,
         )
 
     def open(self) -> None:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/watcher.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/watcher.py
@@ -92,15 +92,28 @@
         self._journal.event("watch.begun", age=freshness.age(time.monotonic()))
         while not freshness.may_yield(time.monotonic()):
             began = time.monotonic()
-            if seen is None or await self._store.revision() != seen:
-                routes, seen = await self._store.configuration()
-                self._node.configure(time.monotonic(), routes)
+            seen = await self._look(seen)
             self._touched(True, "")
             freshness.confirmed(began)
             self._recorder.look(looked_since)
             await asyncio.sleep(LOOK_EVERY)
         self._journal.event("watch.ended", other=freshness.watcher)
 
+    async def _look(self, seen: int | None) -> int:
+        """Read what the operator wants; return the revision of the configuration.
+
+        The evacuations come first, in the call that tells the revision. What
+        goes wrong the other way round: a daemon that starts routes openings to
+        targets of an evacuated data centre until it knows better.
+        """
+        evacuated = await self._store.evacuated()
+        self._node.evacuate(time.monotonic(), *evacuated)
+        if evacuated.revision == seen:
+            return seen
+        routes, seen = await self._store.configuration()
+        self._node.configure(time.monotonic(), routes)
+        return seen
+
     def _touched(self, in_touch: bool, why: str) -> None:
         if in_touch:
             self._backoff.reset()
--- a/packages/zinniahook-daemon/tests/test_packet_watcher.py
+++ b/packages/zinniahook-daemon/tests/test_packet_watcher.py
@@ -9,7 +9,11 @@
 from zinniahook_core.packets.freshness import Freshness
 from zinniahook_core.packets.tunnel import Head, Kind, decode, encode
 from zinniahook_daemon.packets import watcher as watchers
-from zinniahook_daemon.packets.ports import Announced, StoreUnavailableError
+from zinniahook_daemon.packets.ports import (
+    Announced,
+    Evacuated,
+    StoreUnavailableError,
+)
 from zinniahook_daemon.packets.watcher import Announcer, Watcher
 
 
@@ -19,6 +23,7 @@
     def __init__(self):
         self.version = 1
         self.revision_now = 10
+        self.evacuated_now = frozenset()
         self.failures = 0
         self.calls = []
         self.announced_agents = []
@@ -37,9 +42,9 @@
         self._call("configuration")
         return Routes(self.version, {}, 60.0, b""), self.revision_now
 
-    async def revision(self):
-        self._call("revision")
-        return self.revision_now
+    async def evacuated(self):
+        self._call("evacuated")
+        return Evacuated(self.revision_now, self.evacuated_now)
 
     async def announce(self, agent):
         self._call("announce")
@@ -56,8 +61,13 @@
         self.freshness = Freshness("10.0.0.2", self.rng)
         self.routes = Routes.none()
         self.formers = Formers()
+        self.told = []
+
+    def evacuate(self, now, revision, names):
+        self.told.append(("evacuated", revision, names))
 
     def configure(self, now, routes, told=None):
+        self.told.append(("configured", routes.version))
         if told is not None:
             self.formers.learn(now, told)
         if routes.version > self.routes.version:
@@ -109,6 +119,32 @@
         _, store, _ = watched(story)
         assert store.calls.count("configuration") == 2
 
+    def test_an_evacuation_is_told_before_the_configuration(self):
+        """Symptom: a daemon that starts opens flows in an evacuated data centre.
+
+        Sequence: it reads the configuration, takes openings, and reads the
+        orders a moment later. Cause: the configuration is what lets it route.
+        """
+
+        async def story(node, store, journal):
+            await until(lambda: node.routes.version == 1)
+
+        store = FakeStore()
+        store.evacuated_now = frozenset({"thies-a"})
+        node, _, _ = watched(story, store)
+        assert node.told[:2] == [
+            ("evacuated", 10, frozenset({"thies-a"})),
+            ("configured", 1),
+        ]
+
+    def test_an_evacuation_costs_no_call_of_its_own(self):
+        async def story(node, store, journal):
+            await until(lambda: len(node.told) > 20)
+
+        _, store, _ = watched(story)
+        assert store.calls.count("configuration") == 1
+        assert set(store.calls) <= {"evacuated", "configuration"}
+
     def test_it_stops_for_another_watcher(self):
         async def story(node, store, journal):
             await until(lambda: node.routes.version == 1)
--- /dev/null
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packetparts.py
@@ -0,0 +1,79 @@
+"""The parts of a simulated deployment: logs, links, and machines with targets."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+from zinniahook_core.packets import Agent
+
+from .packetends import TargetEnd
+
+if TYPE_CHECKING:
+    from .packetworlds import PacketWorld
+
+__all__ = ["RecordingLog", "SimulatedAgent", "SimulatedLinks"]
+
+
+class RecordingLog:
+    """Counts what the cores tell and keeps the lines."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+
+    def event(self, name: str, **fields: Any) -> None:
+        """Keep a line."""
+        self.counts[name] += 1
+        self.lines.append((name, fields))
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counts[name] += amount
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Count a time."""
+        self.counts[name] += 1
+
+
+class SimulatedLinks:
+    """The network of one daemon."""
+
+    def __init__(self, world: PacketWorld, address: str) -> None:
+        self._world = world
+        self._address = address
+
+    def to_peer(self, address: str, data: bytes) -> None:
+        """Send a datagram to another daemon."""
+        self._world.send_peer(self._address, address, data)
+
+    def to_client(self, flow: bytes, raw: bytes) -> None:
+        """Send a packet to a client."""
+        self._world.send_client(self._address, flow, raw)
+
+    def to_target(self, raw: bytes) -> None:
+        """Give a packet to the target."""
+        self._world.send_target(self._address, raw)
+
+    def lookup(self, service: str) -> None:
+        """Read the agents of a service from the store."""
+        self._world.lookup(self._address, service)
+
+    def fetch(self, address: str) -> None:
+        """Get another daemon's configuration."""
+        self._world.fetch(self._address, address)
+
+
+class SimulatedAgent:
+    """A machine with a target and its agent; each can end on its own."""
+
+    def __init__(self, address: str, centre: str, service: str) -> None:
+        self.address = address
+        self.centre = centre
+        self.service = service
+        self.core: Agent | None = None
+        self.target: TargetEnd | None = None
+        self.beats = 0
+        self.born = 0
+        self.told_leaving: float | None = None
+        self.warm_at = 0.0
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/packetworlds.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packetworlds.py
@@ -10,13 +10,13 @@
 import heapq
 import itertools
 import random
-from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
 from zinniahook_core.packets import (
     Agent,
     Beat,
+    ColdLimit,
     Entry,
     Route,
     Routes,
@@ -26,6 +26,7 @@
 from zinniahook_core.packets.formers import Former, Formers, Record
 
 from .packetends import ClientFlow, PlainCodec, TargetEnd, flow_key
+from .packetparts import RecordingLog, SimulatedAgent, SimulatedLinks
 from .strays import strayed
 
 __all__ = ["PacketWorld", "SimulatedAgent", "route_address"]
@@ -56,64 +57,6 @@
     return flow_key("0.0.0.0", 0, f"198.18.0.{number}", SERVICE_PORT)[6:]
 
 
-class RecordingLog:
-    """Counts what the cores tell and keeps the lines."""
-
-    def __init__(self) -> None:
-        self.counts: Counter[str] = Counter()
-        self.lines: list[tuple[str, dict[str, Any]]] = []
-
-    def event(self, name: str, **fields: Any) -> None:
-        """Keep a line."""
-        self.counts[name] += 1
-        self.lines.append((name, fields))
-
-    def count(self, name: str, amount: int = 1) -> None:
-        """Add to a counter."""
-        self.counts[name] += amount
-
-    def observe(self, name: str, seconds: float, **labels: str) -> None:
-        """Count a time."""
-        self.counts[name] += 1
-
-
-class _Links:
-    """The network of one daemon."""
-
-    def __init__(self, world: PacketWorld, address: str) -> None:
-        self._world = world
-        self._address = address
-
-    def to_peer(self, address: str, data: bytes) -> None:
-        self._world.send_peer(self._address, address, data)
-
-    def to_client(self, flow: bytes, raw: bytes) -> None:
-        self._world.send_client(self._address, flow, raw)
-
-    def to_target(self, raw: bytes) -> None:
-        self._world.send_target(self._address, raw)
-
-    def lookup(self, service: str) -> None:
-        self._world.lookup(self._address, service)
-
-    def fetch(self, address: str) -> None:
-        self._world.fetch(self._address, address)
-
-
-class SimulatedAgent:
-    """A machine with a target and its agent; each can end on its own."""
-
-    def __init__(self, address: str, centre: str, service: str) -> None:
-        self.address = address
-        self.centre = centre
-        self.service = service
-        self.core: Agent | None = None
-        self.target: TargetEnd | None = None
-        self.beats = 0
-        self.born = 0
-        self.told_leaving: float | None = None
-
-
 class PacketWorld:
     """A deployment of one or more services.
 
@@ -127,6 +70,8 @@
         Number of entries.
     loss : float
         Share of datagrams between daemons that are lost.
+    cold_limit : ColdLimit, optional
+        What cold targets may get.
     """
 
     def __init__(
@@ -135,8 +80,10 @@
         services: dict[str, int] | None = None,
         entries: int = 3,
         loss: float = 0.0,
+        cold_limit: ColdLimit | None = None,
     ) -> None:
         self.now = 100.0
+        self.cold_limit = cold_limit
         self.rng = random.Random(seed)
         self.loss = loss
         self.log = RecordingLog()
@@ -150,6 +97,10 @@
         self.late_openings: list[bytes] = []
         self.cut: set[frozenset[str]] = set()
         self.announced: list[tuple[str, str, str]] = []
+        self.revision = 1
+        self.evacuated: frozenset[str] = frozenset()
+        self.store_readers: set[str] | None = None
+        self.evacuated_openings: list[tuple[float, str, bytes]] = []
         self.formers = Formers()
         self.record = Record({})
         self._beats_from = 0.0
@@ -228,6 +179,7 @@
             *self._ports_of(agent.address),
             target,
             next(self._ids),
+            self.cold_limit,
         )
         agent.core.start(self.now)
         for order, announced in enumerate(self.announced):
@@ -247,7 +199,7 @@
 
     def _ports_of(self, address: str) -> tuple:
         rng = random.Random(self.rng.random())
-        return self.codec, _Links(self, address), self.log, rng
+        return self.codec, SimulatedLinks(self, address), self.log, rng
 
     # Time
 
@@ -276,6 +228,7 @@
             # Stands for a watcher: the store confirms what it has.
             if core.routes.version:
                 core.freshness.confirmed(self.now)
+                self._read_evacuations(core)
             core.tick(self.now)
 
     def hold_beats(self, seconds: float) -> None:
@@ -297,7 +250,7 @@
             agent.service,
             target.slots,
             target.leaving,
-            0.0,
+            max(0.0, agent.warm_at - self.now),
             agent.beats,
             agent.born,
         )
@@ -342,6 +295,9 @@
         elif not packet.is_opening:
             self.owned.append((self.now, packet.flow))
         if len(target.openings) > before[1]:
+            if agent.centre in self.evacuated:
+                opened = (self.now, agent.address, packet.flow)
+                self.evacuated_openings.append(opened)
             told = agent.told_leaving
             if told is not None and self.now - told > DRAIN_TIME:
                 self.late_openings.append(packet.flow)
@@ -408,9 +364,14 @@
         del kept[route_address(number)]
         self._install(kept)
 
+    def set_cold_rate(self, service: str, rate: float) -> None:
+        """Let the operator tell what cold targets of a service bear."""
+        self.routes = self.routes._replace(cold_rates={service: rate})
+        self._install(self.routes.by_address)
+
     def _install(self, by_address: dict[bytes, Route]) -> None:
         former = self.routes
-        self.routes = Routes(former.version + 1, by_address, 60.0, b"")
+        self.routes = former._replace(version=former.version + 1, by_address=by_address)
         self.formers.replaced(self.now, former, self.routes)
         cores = [core for core in self.entries_by_address.values() if core]
         cores += [a.core for a in self.agents_by_address.values() if a.core]
@@ -420,12 +381,23 @@
             self.at(delay, lambda core=core: core.configure(self.now, routes))
         self.at(RECORD_DELAY, self._write_record)
 
+    def evacuate(self, *centres: str) -> None:
+        """Let the operator evacuate these data centres, and no others."""
+        self.evacuated = frozenset(centres)
+        self.revision += 1
+
+    def _read_evacuations(self, core: Entry | Agent) -> None:
+        """Let a daemon read the store, if it is one of its readers."""
+        if self.store_readers is None or core.address in self.store_readers:
+            core.evacuate(self.now, self.revision, self.evacuated)
+
     def _write_record(self) -> None:
         self.record = Record.of(self.now, self.routes, self.formers)
 
     def _configure(self, core: Entry | Agent) -> None:
         """Let a daemon that starts read the store."""
         core.formers.begin(self.now)
+        self._read_evacuations(core)
         core.configure(self.now, self.routes, self._recorded())
 
     def _recorded(self) -> list[Former]:
