Say that a target has ended, and wait for no flows there

Cause: after a loss of power three of four searches for lost flows ended in silence. Change: an agent whose target has ended tells ENDED; nobody waits for it, asks it or sends packets of its former flows there, and it tells once more as its process ends. One that never saw a target looks, before it ends, whether its address refuses connections. Only answers to openings and data show a target that works.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -143,6 +143,11 @@
         self.target.left(target, born)
         self.membership.tick(now)
 
+    def absent(self, now: float) -> None:
+        """Take that no target runs on this instance, if none was ever seen."""
+        self.target.absent()
+        self.membership.tick(now)
+
     def handle(self, now: float, sender: str, head: Head, body: bytes) -> None:
         """Handle a datagram of another daemon."""
         if head.kind is Kind.FORWARD:
@@ -374,7 +379,14 @@
         if reset and flow is not None and flow.standing is Standing.TRIED:
             self._reset_on_trial(now, flow)
             return
-        self.target.spoke(now)
+        if packet.flags & Flag.OPENING or packet.length:
+            self.target.spoke(now)
+        else:
+            # Resets and acknowledgements also come where no target works any
+            # more. What goes wrong if they count: an instance whose target has
+            # ended comes back for a moment, is taken for one that holds flows,
+            # and nobody ends a flow for seconds after it has gone.
+            self.target.heard(now)
         self.links.to_client(packet.flow, raw)
         self._answered(now, packet)
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
@@ -305,6 +305,8 @@
             member = roster.by_address.get(owner)
             if member is None or roster.is_silent(now, member):
                 continue
+            if roster.has_ended(owner):
+                continue
             self._forward(now, packet, roster, owner, Mark.HINTED, None)
             return True
         return False
--- a/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
@@ -345,10 +345,16 @@
             del self._placements[flow]
 
     def _owner(self, flow: bytes) -> str | None:
-        """Return the owner of a flow, or who was asked last to open it."""
+        """Return the owner of a flow, or who was asked last to open it.
+
+        One whose target has ended owns nothing any more.
+        """
         owner = self._pointers.get(flow)
         if owner is None and (made := self._placements.get(flow)) is not None:
             owner = made.tried[-1] if made.tried else None
+        if owner is not None and self.roster.has_ended(owner):
+            self.forget(flow, owner)
+            return None
         return owner
 
     def _point(self, now: float, head: Head, packet: Packet, owner: str) -> None:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/member.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/member.py
@@ -10,6 +10,9 @@
 
 __all__ = ["TOLD_STATES", "Member", "Row"]
 
+EMPTY_STATES = frozenset((State.STARTING, State.ENDED))
+"""States of an agent that knows of no target."""
+
 UNTOLD_STATES = frozenset((State.STARTING, State.ANSWERING))
 """States of an agent that has heard no heartbeat of its target yet."""
 
@@ -103,8 +106,8 @@
 
     @property
     def is_empty(self) -> bool:
-        """Whether it says that it hasn't seen a target yet."""
-        return self.has_told and self.state is State.STARTING
+        """Whether it says that it hasn't seen a target yet, or not any more."""
+        return self.has_told and self.state in EMPTY_STATES
 
     @property
     def may_serve_unseen(self) -> bool:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/members.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/members.py
@@ -23,7 +23,13 @@
 from .ring import Ring
 from .tunnel import Status
 
-__all__ = ["ASKED_AGAIN_AFTER", "UNANSWERED_AFTER", "Changes", "Roster"]
+__all__ = [
+    "ASKED_AGAIN_AFTER",
+    "NAMES_TOLD",
+    "UNANSWERED_AFTER",
+    "Changes",
+    "Roster",
+]
 
 STATUS_EVERY = 0.2
 """Seconds between statuses to the peers of the service."""
@@ -230,6 +236,11 @@
         member = self.by_address.get(address)
         return member is not None and not self.is_silent(now, member)
 
+    def has_ended(self, address: str) -> bool:
+        """Tell whether a member has said that its target has ended."""
+        member = self.by_address.get(address)
+        return member is not None and member.state is State.ENDED
+
     def present(self, now: float) -> list[str]:
         """Return the addresses of those that can be asked and sent to."""
         return [name for name in self.by_address if self.is_here(now, name)]
@@ -446,24 +457,34 @@
         return [m.address for m in among if self.is_silent(now, m)]
 
     def may_hold_unseen(self, now: float, among: list[Member] | None = None) -> bool:
-        """Tell whether a silent member, of all or of some, may still serve flows.
+        """Tell whether a silent member, of all or of some, may still serve flows."""
+        return bool(self.unseen(now, among))
+
+    def unseen(self, now: float, among: list[Member] | None = None) -> list[str]:
+        """Return the silent members, of all or of some, that may still serve flows.
 
         One that nobody has heard for long is cut off from its clients as well,
         or gone; one that never knew a target has none to hold flows. If most are
         silent they are starting. What goes wrong without: an agent that runs a
         second before its peers takes all of them for gone, and resets flows.
+        One that has said that its target has ended holds none. What goes wrong if
+        it counts: for seconds after each planned end, no flow that lost its
+        target is ended, and its client waits until its time is over.
         """
         among = list(self.by_address.values()) if among is None else among
         absent = self.absent(now, among)
         most = 2 * len(absent) > len(among)
         unknown_after = LOST_AFTER if most else UNKNOWN_LOST_AFTER
+        unseen = []
         for address in absent:
             member = self.by_address[address]
+            if member.state is State.ENDED:
+                continue
             silent_for = now - max(member.heard_at, member.vouched_at)
             known = member.may_serve_unseen or member.vouched_at > float("-inf")
             if silent_for < (LOST_AFTER if known else unknown_after):
-                return True
-        return False
+                unseen.append(address)
+        return unseen
 
     def usual_slots(self) -> int:
         """Return the median of the slots that targets have told."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
@@ -106,6 +106,8 @@
 
     def state(self, now: float) -> State:
         """Return what this agent tells the others of itself."""
+        if self._target.gone:
+            return State.ENDED
         if self.leaving:
             return State.LEAVING
         state = self._target.state(now)
@@ -155,6 +157,14 @@
         if wish == Wish.MEMBERS:
             self._send_rows(now, address, self.roster.rows(now))
 
+    def farewell(self, now: float) -> None:
+        """Tell everybody once more, as this process ends.
+
+        What goes wrong without: the one datagram that told of the end got lost,
+        and its receiver waits for flows that nobody holds.
+        """
+        self._tell_all(now)
+
     def introduce(self, now: float, address: str) -> None:
         """Tell an agent that has just become known of this one.
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/models.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/models.py
@@ -96,6 +96,9 @@
     ANSWERING = 4
     """The target answers packets, but hasn't told of itself yet."""
 
+    ENDED = 5
+    """The target has ended, or there is none: it holds no flows any more."""
+
 
 class Beat(NamedTuple):
     """A heartbeat of a target.
--- a/packages/zinniahook-core/src/zinniahook_core/packets/openings.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/openings.py
@@ -147,7 +147,7 @@
         if self._membership.is_evacuated:
             return Reason.EVACUATED
         state = self._membership.state(now)
-        if state is State.LEAVING:
+        if state in (State.LEAVING, State.ENDED):
             return Reason.LEAVING
         if state is State.DOWN:
             return Reason.SILENT
--- a/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/searches.py
@@ -17,7 +17,7 @@
 from . import tunnel
 from .flows import SEQUENCE_SPAN, WINDOW
 from .member import Member
-from .members import Roster
+from .members import NAMES_TOLD, Roster
 from .models import Packet
 from .node import Node
 from .tunnel import Head, Kind, Mark, Reason, Wish
@@ -107,6 +107,7 @@
     packet: Packet
     given_back: bool = False
     is_wide: bool = False
+    is_unsure: bool = False
     waved_at: float = float("-inf")
     waiting: set[str] = field(default_factory=set)
     denied: set[str] = field(default_factory=set)
@@ -216,7 +217,7 @@
         """
         hurry = now < search.begun + SEARCH_HURRY
         search.ask_at = now + (SEARCH_REPEAT if hurry else SEARCH_REPEAT_LATE)
-        search.waiting = {n for n in search.waiting if self.roster.is_here(now, n)}
+        search.waiting = {n for n in search.waiting if self._may_answer(now, n)}
         self._ask(now, search, search.waiting - {self.node.address})
         if now - search.begun >= RELAY_AFTER:
             self._ask_by_peers(now, search)
@@ -279,20 +280,47 @@
         if search.waiting:
             return
         # An agent that is silent may be cut off from here only and hold it.
-        if not self.roster.may_hold_unseen(now, self._circle(now, search)):
+        unseen = self.roster.unseen(now, self._circle(now, search))
+        if not unseen:
             self._conclude(now, flow, search)
         else:
+            self._tell_unsure(now, flow, search, unseen)
             self._let_others_be_asked(now, flow, search)
 
+    def _tell_unsure(
+        self, now: float, flow: bytes, search: Search, unseen: list[str]
+    ) -> None:
+        """Write a line, once, about who keeps a search from ending."""
+        if search.is_unsure:
+            return
+        search.is_unsure = True
+        first = self.roster.by_address[unseen[0]]
+        self.node.log.event(
+            "search.unsure",
+            flow=flow,
+            denied=len(search.denied),
+            unseen=unseen[:NAMES_TOLD],
+            more=max(0, len(unseen) - NAMES_TOLD),
+            members=len(self.roster.by_address),
+            silent_for=round(now - first.heard_at, 2),
+            heard=first.confirmed,
+            vouched=first.vouched_at > float("-inf"),
+        )
+
     def _left(self, now: float, search: Search) -> list[str]:
         """Return who is present and hasn't been asked yet."""
         asked = search.waiting | search.denied | {self.node.address}
         return [
             member.address
             for member in self._circle(now, search)
-            if member.address not in asked and not self.roster.is_silent(now, member)
+            if member.address not in asked and self._may_answer(now, member.address)
         ]
 
+    def _may_answer(self, now: float, address: str) -> bool:
+        """Tell whether a member's answer is worth waiting for."""
+        roster = self.roster
+        return roster.is_here(now, address) and not roster.has_ended(address)
+
     def _let_others_be_asked(self, now: float, flow: bytes, search: Search) -> None:
         """Give packets back while a search goes on, if others may own the flow."""
         if not self._is_alone(now, search.head, flow):
--- a/packages/zinniahook-core/src/zinniahook_core/packets/target.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/target.py
@@ -144,6 +144,17 @@
             self.leaving = True
             self.gone = True
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the target has told of itself, or sent anything."""
+        return bool(self.name) or self._answers
+
+    def absent(self) -> None:
+        """Note that no process runs where the target should."""
+        if not self.is_known:
+            self.leaving = True
+            self.gone = True
+
     def heard(self, now: float) -> None:
         """Note a sign of life."""
         self._heard_at = now
@@ -151,7 +162,7 @@
         self._given = 0
 
     def spoke(self, now: float) -> None:
-        """Note a packet of the target's own, which only one that works sends."""
+        """Note an answer to an opening, or data: only a target that works sends it."""
         self._answers = True
         self.heard(now)
 
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/roles.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/roles.py
@@ -28,6 +28,10 @@
 """Seconds in which the others learn that an agent leaves."""
 
 
+TARGET_PATIENCE = 0.2
+"""Seconds for a connection to the target, on the same instance."""
+
+
 class EntryDaemon(Daemon):
     """An entry as a process."""
 
@@ -164,14 +168,35 @@
         began = time.monotonic()
         self.core.leave(began)
         until = began + self.settings.grace - RESERVE
+        await self._look_for_target()
         gone = self.core.target.gone
         while time.monotonic() < until:
             await asyncio.sleep(POLL / 5)
             handed = gone or time.monotonic() - began > HANDOVER_TIME
             if handed and not self.core.flows.busy:
                 break
+        self.core.membership.farewell(time.monotonic())
         if gone:
             await self._announcer.withdraw()
 
+    async def _look_for_target(self) -> None:
+        """Find out whether a target that was never seen runs at all.
+
+        What goes wrong without: an instance comes back without its target and is
+        taken away at once; for seconds its peers end no flow, as it might hold
+        them. An address that refuses connections has no process.
+        """
+        if self.core.target.is_known:
+            return
+        try:
+            connection = asyncio.open_connection(*self.settings.target)
+            _, writer = await asyncio.wait_for(connection, TARGET_PATIENCE)
+            writer.close()
+        except ConnectionRefusedError:
+            self.journal.event("target.absent", outcome="nothing is held here")
+            self.core.absent(time.monotonic())
+        except (OSError, TimeoutError):
+            return
+
     def _from_target(self, data: bytes, source: tuple) -> None:
         self.core.from_target(time.monotonic(), data)
--- /dev/null
+++ b/packages/zinniahook-daemon/tests/test_packet_roles.py
@@ -0,0 +1,64 @@
+"""What a process of the packet service does at its end."""
+
+import asyncio
+import socket
+
+import pytest
+from zinniahook_core.models import Address
+from zinniahook_core.packets import Beat, State
+from zinniahook_daemon.packets.journal import Journal
+from zinniahook_daemon.packets.ports import Settings
+from zinniahook_daemon.packets.roles import AgentDaemon
+
+HOST = "127.0.0.1"
+
+
+def agent(target):
+    settings = Settings(
+        name="side-a-1",
+        address=HOST,
+        data_centre="a",
+        inner_port=0,
+        client_port=0,
+        seeds=(),
+        grace=6.0,
+        beat_interval=1.2,
+        service="tally",
+        target=target,
+    )
+    return AgentDaemon(settings, None, None, Journal("side-a-1"))
+
+
+@pytest.fixture
+def listener():
+    with socket.create_server((HOST, 0)) as server:
+        yield server
+
+
+def looked(daemon):
+    """Let a daemon look for its target; return the state that it tells."""
+    asyncio.run(daemon._look_for_target())
+    return daemon.core.membership.state(0.0)
+
+
+class TestTargetThatWasNeverSeen:
+    """Symptom: for seconds after a loss of power no dead flow is ended.
+
+    Sequence: an instance comes back without its target and is taken away at
+    once. Cause: its agent leaves without saying that nothing is held there.
+    """
+
+    def test_an_address_that_refuses_has_no_target(self, listener):
+        address = Address(*listener.getsockname())
+        listener.close()
+        assert looked(agent(address)) is State.ENDED
+
+    def test_one_that_listens_may_hold_flows(self, listener):
+        assert looked(agent(Address(*listener.getsockname()))) is State.STARTING
+
+    def test_one_that_told_of_itself_is_not_looked_for(self, listener):
+        address = Address(*listener.getsockname())
+        listener.close()
+        daemon = agent(address)
+        daemon.core.target.beat(0.0, Beat("t-1", "tally", 4, False, 0.0, 3))
+        assert looked(daemon) is State.READY
