--- a/packages/zinniahook-cli/src/zinniahook_cli/explanations.py
+++ b/packages/zinniahook-cli/src/zinniahook_cli/explanations.py
@@ -27,6 +27,8 @@
         "stopping",
         "stopped",
         "target.state",
+        "target.absent",
+        "evacuations.installed",
         "configuration.installed",
         "dependency.lost",
         "dependency.regained",
@@ -116,6 +118,17 @@
     return "every target returned the opening: all were full"
 
 
+@decides("reset.evacuated")
+def _evacuated(line: Line) -> str:
+    return "operators have evacuated every data centre of its service"
+
+
+@decides("search.unsure")
+def _unsure(line: Line) -> str:
+    unseen = line.fields.get("unseen") or "some that are gone"
+    return f"its owner wasn't found: {unseen} may hold it and don't answer"
+
+
 @decides("reset.no_owner")
 def _no_owner(line: Line) -> str:
     return "no agent holds the flow: its target is gone"
