Don't wait for ever for an order that nobody can tell

Cause: found by reading: a daemon that had seen the stamp of a newer set held every opening until somebody told the set. If its only holder died first, and the store then had the same set as before, nobody ever would, and its target got nothing. Change: it waits for a second at most, and looks at the store itself after 0.4 s; a revision that doesn't fit a datagram, or an answer without one, is malformed.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/evacuations.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/evacuations.py
@@ -21,6 +21,19 @@
 """Seconds between two questions for a newer set: each datagram of a daemon that
 has one shows it, a hundred in the moment after an order."""
 
+CLAIM_KEPT = 1.0
+"""Seconds for which a newer set that a datagram showed is waited for. Its sender may
+have died since, and nobody else has it: whoever looks at the store next does so
+within 1.5 s, well below the seconds in which orders must be in force. What goes
+wrong without an end: this daemon gives its target nothing ever again."""
+
+DOUBT_LONGEST = 0.4
+"""Seconds without the newer set after which this daemon looks at the store itself:
+eight questions got no answer."""
+
+REVISION_LIMIT = 1 << 63
+"""Above what any store counts to; a datagram has 8 bytes for it."""
+
 NOTHING = 0
 """Digest of the empty set, which needn't be asked for."""
 
@@ -48,17 +61,27 @@
         self.stamp = Stamp()
         # The latest revision at which the set in force is known to hold.
         self._confirmed = 0
-        self._newest = 0
+        # The newest revision that was shown here, and since when and until when.
+        self._claimed = 0
+        self._claimed_since = float("-inf")
+        self._claimed_at = float("-inf")
         self._asked_at = float("-inf")
 
-    @property
-    def is_certain(self) -> bool:
-        """Whether the set is known, and nobody has shown a newer one.
+    def is_certain(self, now: float) -> bool:
+        """Tell whether the set is known, and nobody has just shown a newer one.
 
         What goes wrong without: a daemon that has just started, or has slept,
         gives a flow to a target of a data centre that was evacuated meanwhile.
         """
-        return self.stamp.revision > 0 and self._newest <= self._confirmed
+        return self.stamp.revision > 0 and not self._is_behind(now)
+
+    def must_read(self, now: float) -> bool:
+        """Tell whether this daemon should look at the store for a newer set."""
+        return self._is_behind(now) and now - self._claimed_since > DOUBT_LONGEST
+
+    def _is_behind(self, now: float) -> bool:
+        newer = self._claimed > self._confirmed
+        return newer and now - self._claimed_at <= CLAIM_KEPT
 
     def read(self, revision: int, names: frozenset[str]) -> bool:
         """Take what the store had at a revision; return whether it changes the set.
@@ -73,7 +96,7 @@
             return False
         return self._install(revision, names)
 
-    def shown(self, stamp: Stamp) -> bool:
+    def shown(self, now: float, stamp: Stamp) -> bool:
         """Take what a datagram shows; return whether its sender has a newer set."""
         if stamp.revision <= self.stamp.revision:
             return False
@@ -89,7 +112,10 @@
             # keep the older one, as its stamp is above the one told here.
             self.stamp = self.stamp._replace(revision=self._confirmed)
             return False
-        self._newest = max(self._newest, stamp.revision)
+        if not self._is_behind(now):
+            self._claimed_since = now
+        self._claimed = max(self._claimed, stamp.revision)
+        self._claimed_at = now
         return True
 
     def agrees(self, stamp: Stamp) -> bool:
@@ -137,8 +163,9 @@
 def _decode(body: bytes) -> tuple[int, frozenset[str]] | None:
     try:
         match json.loads(body):
-            case [int(revision), *names] if all(isinstance(n, str) for n in names):
-                return revision, frozenset(names)
+            case [int(revision), *names] if 0 < revision < REVISION_LIMIT:
+                if all(isinstance(name, str) for name in names):
+                    return revision, frozenset(names)
     except ValueError:
         return None
     return None
--- a/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/homes.py
@@ -263,7 +263,8 @@
         # A copy may follow one that another home has placed, and whose target
         # has answered: a reset would end an open flow.
         first = not made.tried and not packet.acknowledged
-        if first and self.node.evacuations.is_certain and self.roster.is_closed(now):
+        certain = self.node.evacuations.is_certain(now)
+        if first and certain and self.roster.is_closed(now):
             return "reset.evacuated"
         return NO_TAKER
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/node.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/node.py
@@ -199,7 +199,7 @@
         of both documents.
         """
         stamp = Stamp(head.evacuated_at, head.evacuated)
-        if self.evacuations.shown(stamp) and self.evacuations.may_ask(now):
+        if self.evacuations.shown(now, stamp) and self.evacuations.may_ask(now):
             self.hello(now, sender, Wish.EVACUATIONS)
         age = head.age if self.evacuations.agrees(stamp) else None
         if self.freshness.heard(now, head.watcher, head.version, age):
--- a/packages/zinniahook-core/src/zinniahook_core/packets/openings.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/openings.py
@@ -162,7 +162,7 @@
 
     def _may_offer(self, now: float) -> bool:
         """Tell whether the target may get an opening now."""
-        certain = self._node.evacuations.is_certain
+        certain = self._node.evacuations.is_certain(now)
         return self._has_room and certain and not self.is_held_back(now)
 
     @property
--- a/packages/zinniahook-core/tests/test_packet_evacuations.py
+++ b/packages/zinniahook-core/tests/test_packet_evacuations.py
@@ -1,7 +1,13 @@
 """Which set of evacuated data centres is in force at one daemon."""
 
-from zinniahook_core.packets.evacuations import Evacuations, Stamp
-
+from zinniahook_core.packets.evacuations import (
+    CLAIM_KEPT,
+    DOUBT_LONGEST,
+    Evacuations,
+    Stamp,
+)
+
+NOW = 10.0
 NONE = frozenset()
 A = frozenset({"thies-a"})
 AB = frozenset({"thies-a", "thies-b"})
@@ -15,17 +21,17 @@
 
 def tell(teller, hearer):
     """Let one daemon's datagram arrive at another, which asks if it must."""
-    if hearer.shown(teller.stamp):
+    if hearer.shown(NOW, teller.stamp):
         hearer.told(teller.encode())
 
 
 class TestReadingTheStore:
     def test_nothing_is_certain_before(self):
-        assert not Evacuations().is_certain
+        assert not Evacuations().is_certain(NOW)
 
     def test_an_order_and_its_end_are_taken(self):
         known = knowing(5, NONE)
-        assert known.is_certain
+        assert known.is_certain(NOW)
         assert known.read(6, A)
         assert known.names == A
         assert known.read(7, NONE)
@@ -43,28 +49,28 @@
         assert known.names == NONE
 
     def test_a_revision_of_zero_is_known(self):
-        assert knowing(0, NONE).is_certain
+        assert knowing(0, NONE).is_certain(NOW)
 
 
 class TestHearingOthers:
     def test_a_newer_set_is_asked_for_and_taken(self):
         hearer, teller = knowing(5, NONE), knowing(9, A)
-        assert hearer.shown(teller.stamp)
-        assert not hearer.is_certain
+        assert hearer.shown(NOW, teller.stamp)
+        assert not hearer.is_certain(NOW)
         assert hearer.told(teller.encode())
-        assert hearer.is_certain
+        assert hearer.is_certain(NOW)
         assert hearer.names == A
 
     def test_an_older_set_is_not(self):
         hearer, teller = knowing(9, A), knowing(5, NONE)
-        assert not hearer.shown(teller.stamp)
+        assert not hearer.shown(NOW, teller.stamp)
         assert not hearer.told(teller.encode())
         assert hearer.names == A
 
     def test_a_daemon_that_starts_need_not_ask_for_nothing(self):
         hearer = Evacuations()
-        assert not hearer.shown(knowing(9, NONE).stamp)
-        assert hearer.is_certain
+        assert not hearer.shown(NOW, knowing(9, NONE).stamp)
+        assert hearer.is_certain(NOW)
 
     def test_a_daemon_that_starts_asks_for_orders(self):
         hearer, teller = Evacuations(), knowing(9, A)
@@ -73,17 +79,27 @@
 
     def test_one_that_knows_nothing_shows_nothing(self):
         hearer = knowing(5, A)
-        assert not hearer.shown(Evacuations().stamp)
+        assert not hearer.shown(NOW, Evacuations().stamp)
         assert hearer.names == A
 
     def test_the_same_set_under_a_later_revision_is_not_asked_for(self):
         hearer, teller = knowing(5, A), knowing(9, A)
-        assert not hearer.shown(teller.stamp)
+        assert not hearer.shown(NOW, teller.stamp)
         assert hearer.agrees(teller.stamp)
 
     def test_a_malformed_set_changes_nothing(self):
         known = knowing(5, A)
-        for body in (b"", b"{}", b"[]", b'["x"]', b"[7,8]", b"\xff", b"[7"):
+        for body in (
+            b"",
+            b"{}",
+            b"[]",
+            b'["x"]',
+            b"[7,8]",
+            b"\xff",
+            b"[7",
+            b"[-1]",
+            b"[%d]" % 2**64,
+        ):
             assert known.told(body) is None
         assert known.names == A
         assert known.stamp.revision == 5
@@ -145,3 +161,29 @@
     def test_sets_differ(self):
         digests = {knowing(1, names).stamp.digest for names in (NONE, A, AB)}
         assert len(digests) == 3
+
+
+class TestNewerSetThatNobodyTells:
+    """Symptom: a target gets nothing for as long as its agent runs.
+
+    Sequence: a daemon reads an order, shows its stamp and dies before it is asked.
+    Cause: whoever has seen the stamp waits for a set that nobody has.
+    """
+
+    def test_is_waited_for_and_then_looked_up(self):
+        known = knowing(5, NONE)
+        assert known.shown(NOW, knowing(9, A).stamp)
+        assert not known.is_certain(NOW)
+        assert not known.must_read(NOW)
+        assert known.must_read(NOW + DOUBT_LONGEST + 0.01)
+        known.read(9, A)
+        assert known.is_certain(NOW + DOUBT_LONGEST + 0.02)
+
+    def test_is_not_waited_for_ever(self):
+        known = knowing(5, NONE)
+        known.shown(NOW, knowing(9, A).stamp)
+        assert not known.is_certain(NOW + CLAIM_KEPT)
+        assert known.is_certain(NOW + CLAIM_KEPT + 0.01)
+
+    def test_a_daemon_that_knows_no_set_waits_for_one(self):
+        assert not Evacuations().is_certain(NOW + 100 * CLAIM_KEPT)
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/watcher.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/watcher.py
@@ -75,7 +75,7 @@
         """Watch whenever needed, for ever."""
         while True:
             now = time.monotonic()
-            if not self._node.freshness.must_look(now):
+            if not self._must_look(now):
                 await asyncio.sleep(max(IDLE_TIME, self._node.freshness.rest(now)))
                 continue
             try:
@@ -84,6 +84,10 @@
                 self._touched(False, str(error))
                 await self._backoff.wait()
 
+    def _must_look(self, now: float) -> bool:
+        node = self._node
+        return node.freshness.must_look(now) or node.evacuations.must_read(now)
+
     async def _watch(self) -> None:
         """Read what the store has, as long as nobody else does."""
         freshness = self._node.freshness
--- a/packages/zinniahook-daemon/tests/test_packet_watcher.py
+++ b/packages/zinniahook-daemon/tests/test_packet_watcher.py
@@ -5,6 +5,7 @@
 
 import pytest
 from zinniahook_core.packets import Routes
+from zinniahook_core.packets.evacuations import Evacuations, Stamp
 from zinniahook_core.packets.formers import Formers
 from zinniahook_core.packets.freshness import Freshness
 from zinniahook_core.packets.tunnel import Head, Kind, decode, encode
@@ -61,6 +62,7 @@
         self.freshness = Freshness("10.0.0.2", self.rng)
         self.routes = Routes.none()
         self.formers = Formers()
+        self.evacuations = Evacuations()
         self.told = []
 
     def evacuate(self, now, revision, names):
@@ -137,6 +139,30 @@
             ("configured", 1),
         ]
 
+    def test_a_newer_set_that_nobody_tells_is_read(self):
+        """Symptom: a target gets nothing for as long as its agent runs.
+
+        Sequence: a daemon shows that it has newer orders and dies before it is
+        asked. Cause: whoever knows of them waits for somebody to tell them.
+        """
+
+        async def story(node, store, journal):
+            await until(lambda: node.routes.version == 1)
+            told = len(node.told)
+            loop = asyncio.get_running_loop()
+            while "watch.ended" not in journal.events:
+                node.freshness.heard(loop.time(), "10.0.0.1", 1, 0.0)
+                await asyncio.sleep(0.001)
+            began = journal.events.count("watch.begun")
+            node.evacuations.read(5, frozenset())
+            while journal.events.count("watch.begun") == began:
+                node.freshness.heard(loop.time(), "10.0.0.1", 1, 0.0)
+                node.evacuations.shown(loop.time(), Stamp(99, 7))
+                await asyncio.sleep(0.001)
+            await until(lambda: len(node.told) > told)
+
+        watched(story)
+
     def test_an_evacuation_costs_no_call_of_its_own(self):
         async def story(node, store, journal):
             await until(lambda: len(node.told) > 20)
