--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -20,6 +20,7 @@
 from .openings import Openings
 from .pace import ColdLimit, Pace
 from .registry import Registry
+from .requests import Requests
 from .searches import Taken
 from .target import Target
 from .trials import Trials
@@ -66,6 +67,7 @@
         self.endings = Endings(self, target, self.flows)
         self._expire_at = float("-inf")
         self.membership = Membership(self, target, self.flows, incarnation)
+        self.requests = Requests(self, target, self.flows)
         self.trials = Trials(self.flows, target, links, self._found)
         self._pace = Pace(cold_limit)
         self.openings = Openings(self, target, self.flows, self.membership, self._pace)
@@ -308,7 +310,7 @@
         flow.seen = now
         flow.acknowledged = packet.acknowledged
         if packet.length:
-            self._asked(now, flow, packet)
+            self.requests.begun(now, flow, packet)
         if flow.standing is Standing.OFFERED:
             self._opened(now, flow)
         if flow.entry != head.entry or not head.marks & Mark.HINTED:
@@ -326,21 +328,6 @@
             self.registry.tell_owner(now, asker, [flow.key])
         self.registry.register(now, flow, force=True)
 
-    def _asked(self, now: float, flow: Flow, packet: Packet) -> None:
-        self.target.given(now)
-        self.flows.asked(now, flow)
-        request = self.codec.request(packet.raw)
-        if request and request != flow.request:
-            flow.request = request
-            self.log.event(
-                "request.begun",
-                request=request,
-                flow=flow.key,
-                opening=flow.client_first,
-                busy=self.flows.busy,
-                version=self.routes.version,
-            )
-
     def _opened(self, now: float, flow: Flow) -> None:
         flow.standing = Standing.OPEN
         flow.opening = b""
@@ -424,53 +411,17 @@
         if flow.standing is Standing.TRIED:
             self.trials.succeeded(now, flow)
         ends = packet.flags & (Flag.RESET | Flag.CLOSING)
+        freed = False
         if packet.flags & Flag.RESET:
-            self._request_reset(now, flow)
+            freed = self.requests.broken_off(now, flow)
         elif packet.length or ends:
             # The end of a short answer may come before its data.
-            self._request_done(now, flow)
+            freed = self.requests.answered(now, flow)
+        if freed:
+            self.openings.admit(now)
         if ends:
             flow.standing = Standing.CLOSED
 
-    def _request_done(self, now: float, flow: Flow) -> None:
-        took = self.flows.answered(now, flow)
-        if took is None:
-            return
-        self.target.answered(took)
-        self._tell_answer(flow, took)
-        self.openings.admit(now)
-
-    def _request_reset(self, now: float, flow: Flow) -> None:
-        """Note that the target broke a request off.
-
-        What goes wrong if it counts as an answer: a target that has crashed
-        resets within a millisecond, looks like the fastest of all, and gets
-        the openings of the others.
-        """
-        took = self.flows.answered(now, flow)
-        if took is None:
-            return
-        self.log.event(
-            "request.reset",
-            request=flow.request,
-            flow=flow.key,
-            took=round(took, 4),
-            target=self.target.name,
-        )
-        self.openings.admit(now)
-
-    def _tell_answer(self, flow: Flow, took: float) -> None:
-        route = self.routes.by_address.get(route_key(flow.key))
-        name = route.name if route else "none"
-        self.log.observe("answer_seconds", took, route=name)
-        self.log.event(
-            "request.answered",
-            request=flow.request,
-            flow=flow.key,
-            took=round(took, 4),
-            target=self.target.name,
-        )
-
     def _accepted(self, now: float, flow: Flow, packet: Packet) -> None:
         flow.first = packet.sequence
         flow.since = min(flow.since, now)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/members.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/members.py
@@ -4,23 +4,18 @@
 itself once, agents tell of their peers, and silence tells who is gone. A
 roster merges the three. Nobody has to agree on it: a wrong guess costs a
 longer way for a packet, never a flow.
-
-However many agents there are, a flow concerns only a few: those that follow
-its key on a circle of hashes. They alone are its homes, may open it, and are
-asked for it.
 """
 
 from __future__ import annotations
 
-import bisect
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from .. import rendezvous
+from .circles import FIRST, LOST_AFTER, WIDER, Circles
 from .member import TOLD_STATES, Member, Row
 from .models import State
-from .ring import Ring
 from .tunnel import Status
 
 __all__ = [
@@ -60,10 +55,6 @@
 """Seconds of silence after which a member is dropped: the longest that a flow
 may live, so that no flow can still be held there."""
 
-LOST_AFTER = 4.5
-"""Seconds of silence after which nobody waits for a member's flows: longer
-than any pause that an agent outlives in service (4 s)."""
-
 UNKNOWN_LOST_AFTER = 1.2
 """The same for a member that was never heard with a target: a killed process
 runs again after 0.7 s and tells of itself in the next 0.2 s."""
@@ -72,22 +63,6 @@
 """Slots of a target as long as none has told its own: few, as a target that
 gets too much serves everything late."""
 
-FIRST = 8
-"""Agents that a flow belongs to. In the model of placing, the least loaded of
-four of them keeps 99 of 100 requests from waiting for more than 35 ms; with
-fewer to choose from the one that a loss makes busy has nobody beside it."""
-
-FIRST_NEAR = 4
-"""Agents of the client's own data centre that may open its flow besides: among
-eight drawn of five data centres there often is none, and each byte between
-them is paid for."""
-
-WIDER = 4
-"""How many times more agents are asked for a flow that the first ones don't
-have. While half of all are away, flows are opened by agents as far as 30
-behind their key; while the service grows by half, the first eight become
-twelve."""
-
 FOUND_OUT_WITHIN = 5.0
 """Seconds in which a daemon that starts meets the members that there are."""
 
@@ -152,8 +127,7 @@
         self._here: set[str] = set()
         self._seated: set[str] = set()
         self._asked: dict[str, None] = {}
-        self._ring = Ring()
-        self._rings_by_zone: dict[int, Ring] = {}
+        self._circles = Circles(self.by_address, self.is_silent)
         self._reviewed_at = float("-inf")
         self.newest_at = float("-inf")
         self.closed: frozenset[int] = frozenset()
@@ -189,8 +163,7 @@
             member.order = self._order(now) if order is None else order
             self.by_address[address] = member
             self.newest_at = now
-            self._ring.add(address)
-            self._rings_by_zone.setdefault(zone, Ring()).add(address)
+            self._circles.add(member)
             self._counted()
         return member
 
@@ -216,8 +189,7 @@
         """Forget a member."""
         member = self.by_address.pop(address, None)
         if member is not None:
-            self._ring.drop(address)
-            self._rings_by_zone[member.zone].drop(address)
+            self._circles.drop(member)
             self._counted()
 
     def is_silent(self, now: float, member: Member) -> bool:
@@ -309,80 +281,13 @@
 
     # Whom a flow concerns
 
-    def _is_lost(self, now: float, member: Member) -> bool:
-        """Tell whether a member has been silent for too long to hold flows."""
-        silent_for = now - max(member.heard_at, member.vouched_at)
-        return silent_for > LOST_AFTER and self.is_silent(now, member)
-
-    def _following(
-        self, now: float, ring: Ring, flow: bytes, most: int
-    ) -> Iterator[Member]:
-        """Return the members that a flow belongs to.
-
-        They are ``most`` of those that aren't lost, and more if few of them are
-        there: a flow must have somebody who opens it.
-        """
-        found = here = 0
-        for address in ring.after(flow):
-            member = self.by_address[address]
-            if self._is_lost(now, member):
-                continue
-            found += 1
-            here += not self.is_silent(now, member)
-            yield member
-            if found >= WIDER * most or (found >= most and 2 * here >= most):
-                return
-
-    def _first(self, now: float, flow: bytes, most: int = FIRST) -> list[Member]:
-        """Return the members that a flow belongs to, for whichever client."""
-        if len(self.by_address) <= most:
-            return list(self.by_address.values())
-        return list(self._following(now, self._ring, flow, most))
-
     def near(self, now: float, flow: bytes, zone: int) -> list[Member]:
         """Return the members that may have opened a flow of one data centre."""
-        members = self._first(now, flow)
-        ring = self._rings_by_zone.get(zone)
-        if ring is None or len(members) == len(self.by_address):
-            return members
-        known = {member.address for member in members}
-        local = self._following(now, ring, flow, FIRST_NEAR)
-        return members + [m for m in local if m.address not in known]
+        return self._circles.near(now, flow, zone)
 
     def far(self, now: float, flow: bytes) -> list[Member]:
-        """Return the members that may have opened a flow, as others saw it.
-
-        What goes wrong without: clients move to another data centre, agents
-        join, or many were away as the flow was opened; its owner isn't among
-        those that it belongs to now, and the flow is reset.
-        """
-        by_address = {m.address: m for m in self._first(now, flow, WIDER * FIRST)}
-        if len(by_address) == len(self.by_address):
-            return list(by_address.values())
-        rings = [(self._ring, FIRST)]
-        rings += [(ring, 2 * FIRST_NEAR) for ring in self._rings_by_zone.values()]
-        for ring, most in rings:
-            for member in self._ever_following(now, ring, flow, most):
-                by_address[member.address] = member
-        return list(by_address.values())
-
-    def _ever_following(
-        self, now: float, ring: Ring, flow: bytes, most: int
-    ) -> Iterator[Member]:
-        """Return the members that a flow may ever have belonged to.
-
-        A member that joined after another one never stood before it in the eyes
-        of a flow that was opened until then; only those that joined earlier
-        count. So of a service that has grown a few more are asked, not all.
-        """
-        orders: list[int] = []
-        for address in ring.after(flow):
-            member = self.by_address[address]
-            if self._is_lost(now, member):
-                continue
-            if bisect.bisect_right(orders, member.order) < most:
-                yield member
-            bisect.insort(orders, member.order)
+        """Return the members that may have opened a flow, as others saw it."""
+        return self._circles.far(now, flow)
 
     def homes(self, now: float, flow: bytes, most: int = 2) -> list[str]:
         """Return the best ranked present members for a flow.
@@ -392,7 +297,7 @@
         share of the flows changes its home, and the openings of a second are
         sent to an agent that is gone.
         """
-        first = self._first(now, flow)
+        first = self._circles.first(now, flow)
         here = [member for member in first if not self.is_silent(now, member)]
         seated = [m.address for m in here if not m.is_empty]
         names = seated or [m.address for m in here]
@@ -422,7 +327,7 @@
         takers = self._able(now, self.near(now, flow, zone), without)
         if takers:
             return takers
-        return self._able(now, self._first(now, flow, WIDER * FIRST), without)
+        return self._able(now, self._circles.first(now, flow, WIDER * FIRST), without)
 
     def _able(
         self, now: float, members: list[Member], without: Iterable[str]
--- a/packages/zinniahook-core/tests/test_packet_neighbours.py
+++ b/packages/zinniahook-core/tests/test_packet_neighbours.py
@@ -4,14 +4,10 @@
 import random
 
 import pytest
+from zinniahook_core.packets.circles import FIRST, FIRST_NEAR
 from zinniahook_core.packets.inquiries import CHOICES, PATIENCE, Inquiries, freshest
 from zinniahook_core.packets.member import Member
-from zinniahook_core.packets.members import (
-    FIRST,
-    FIRST_NEAR,
-    PROBE_LONGEST,
-    Roster,
-)
+from zinniahook_core.packets.members import PROBE_LONGEST, Roster
 from zinniahook_core.packets.models import Packet
 from zinniahook_core.packets.ring import Ring
 from zinniahook_core.packets.tunnel import Head, Kind
--- a/packages/zinniahook-testkit/tests/test_packet_scale.py
+++ b/packages/zinniahook-testkit/tests/test_packet_scale.py
@@ -6,8 +6,8 @@
 from collections import Counter
 
 import pytest
+from zinniahook_core.packets.circles import FIRST, FIRST_NEAR, WIDER
 from zinniahook_core.packets.flows import Flow, Standing
-from zinniahook_core.packets.members import FIRST, FIRST_NEAR, WIDER
 from zinniahook_core.packets.tunnel import Kind, Mark
 from zinniahook_testkit.packetworlds import PacketWorld
 
