--- a/review/standins.py
+++ b/review/standins.py
@@ -1278,19 +1278,19 @@
         self.record.write("BROKEN " + text)
 
 
-async def _play(case: Callable, folder: Path, record: Record) -> int:
-    return await case(folder, record, os.environ.get("TROUBLE", "1") != "0")
-
-
 def run_case(case: Callable[[Path, Record, bool], Awaitable[int]], path: Path) -> None:
-    """Run a case, write its record, and exit with its status."""
+    """Run a case, write its record, and exit with its status.
+
+    ``TROUBLE=0`` leaves the disruption out. ``KEEP`` may name a folder that keeps the
+    settings and logs of the processes.
+    """
     record = Record(path)
+    trouble = os.environ.get("TROUBLE", "1") != "0"
     status = EXIT_NOT_RUN
     with tempfile.TemporaryDirectory() as name:
-        if os.environ.get("KEEP"):
-            name = os.environ["KEEP"]
+        folder = Path(os.environ.get("KEEP") or name)
         try:
-            status = asyncio.run(_play(case, Path(name), record))
+            status = asyncio.run(case(folder, record, trouble))
         except (OSError, TimeoutError) as error:
             record.write("not run", error=repr(error))
             print(f"the case couldn't run: {error!r}", file=sys.stderr)
