--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,7 +26,7 @@
 
 
 async def play(folder: Path, record: Record, trouble: bool) -> int:
-    """Run the case; return 1 if a rule was broken, 0 if all held."""
+    """Run the case; return 1 if ROUTE was broken, 0 if it held."""
     fleet = Deployment(folder, record, [("tally", 3), ("ledger", 2)], ROUTES)
     fleet.store.configure(fleet.document(7))
     try:
@@ -47,7 +47,7 @@
         record.write("end", asked=asked, answered=answered, broken=len(fleet.broken))
         if not answered:
             return 2
-        return 1 if fleet.broken else 0
+        return 1 if fleet.is_broken("ROUTE") else 0
     finally:
         await fleet.close()
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -1273,6 +1273,10 @@
         """Record a packet that its sender didn't write so."""
         self._break(f"UNASKED or MIXED: {where} got a changed packet of {key}")
 
+    def is_broken(self, rule: str) -> bool:
+        """Return whether a rule was broken."""
+        return any(text.startswith(rule) for text in self.broken)
+
     def _break(self, text: str) -> None:
         self.broken.append(text)
         self.record.write("BROKEN " + text)
