--- a/packages/zinniahook-core/src/zinniahook_core/packets/node.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/node.py
@@ -23,8 +23,6 @@
 would pass a packet back and forth for ever."""
 
 
-ADDRESS_PARTS = 4
-BYTE_MAX = 255
 AGE_MAX_SECONDS = 1e6
 """Largest age accepted in a roster, above the lifetime of any relevant process."""
 
@@ -286,19 +284,13 @@
     exception with each of its datagrams.
     """
     match fields:
-        case [str(address), int(zone), age] if _is_address(address) and _is_age(age):
+        case [str(address), int(zone), age] if tunnel.is_address(address) and _is_age(
+            age
+        ):
             return RosterRow(address, zone, age)
     return None
 
 
-def _is_address(text: str) -> bool:
-    """Return whether a text is an IP address as used in datagrams."""
-    parts = text.split(".")
-    return len(parts) == ADDRESS_PARTS and all(
-        part.isascii() and part.isdigit() and int(part) <= BYTE_MAX for part in parts
-    )
-
-
 def _is_age(age: Any) -> bool:
     """Return whether a value is None or a valid age; NaN compares false."""
     return age is None or (isinstance(age, int | float) and 0 <= age < AGE_MAX_SECONDS)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/tunnel.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/tunnel.py
@@ -39,6 +39,7 @@
     "encode_ended",
     "encode_owner",
     "encode_relay",
+    "is_address",
     "tag",
     "zone_tag",
 ]
@@ -48,6 +49,7 @@
 ENDED = struct.Struct("!12sI")
 FLOW_SIZE = 12
 ADDRESS_SIZE = 4
+ADDRESS_PART_DIGITS = 3
 AGE_UNIT = 0.01
 """Seconds per unit of an age in a datagram; two bytes reach 655 s."""
 
@@ -198,6 +200,19 @@
     return ".".join(map(str, packed))
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address in the only form used in datagrams."""
+    parts = text.split(".")
+    return len(parts) == ADDRESS_SIZE and all(
+        part.isascii()
+        and part.isdigit()
+        and len(part) <= ADDRESS_PART_DIGITS
+        and str(int(part)) == part
+        and int(part) <= BYTE_MAX
+        for part in parts
+    )
+
+
 @functools.lru_cache(maxsize=ADDRESSES_CACHED)
 def tag(name: str) -> int:
     """Return a short tag of a service's name, the same in every daemon."""
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/roles.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/roles.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+from zinniahook_core.models import Address
 from zinniahook_core.packets import Agent, Codec, Entry, Heartbeat, State, Target
 
 from .daemon import Daemon
@@ -230,8 +231,18 @@
         """Send a packet to the target."""
         self.client_socket.send(raw, tuple(self.settings.target))
 
-    def heartbeat(self, beat: Heartbeat) -> bool:
-        """Handle a heartbeat of the target; return False if it is rejected."""
+    def heartbeat(self, beat: Heartbeat, address: Address, data_centre: str) -> bool:
+        """Handle a heartbeat; return False if it isn't the target's.
+
+        ``address`` and ``data_centre`` are where its sender claims to run. The target
+        runs on this instance only.
+        """
+        settings = self.settings
+        if (address, data_centre) != (settings.target, settings.data_centre):
+            self.journal.event(
+                "heartbeat.elsewhere", target=beat.target, address=str(address)
+            )
+            return False
         return self.core.heartbeat(time.monotonic(), beat)
 
     def target_ended(self, target: str, born: int | None) -> None:
