Take a start of a target as later by its start time, not by its name

Cause: a name that the agent's process had never seen counted as a later start. Start times were compared only between starts of one name. Evidence: the log has `reset.all` for `i-second` in the moment of its late heartbeat, whose `born` is 5.6 s below that of the living target; without the delay nothing is reset.

Change: a start is later if its start time is above those of all known starts. Any other start is taken once it goes on while the known one has been silent for two intervals, so after a clock was set back it takes up to three heartbeats. One spaced pair of heartbeats alone proved too little: delayed ones are retransmitted each on its own connection, and arrive an interval apart. Where targets report no start times, as on the older sites, a new name is taken at once if the known target is overdue. A heartbeat that isn't applied isn't acknowledged.

The same cause at an agent that has just started: if the late heartbeat was the first, the living target's next one ended flows that the agent had found, and a late number 1 made the agent deny flows that it hadn't seen. A predecessor counts as seen running only after two heartbeats; else nothing follows from it.

The tests of `Target.heartbeat` compare its origin now, which tells late and unconfirmed heartbeats apart; what they ask for is the same.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -12,6 +12,7 @@
 from .features import Features
 from .flows import Flow, Flows, FlowState
 from .homes import Home
+from .lifecycle import Lifecycle
 from .members import Roster
 from .membership import Membership
 from .models import Codec, Flag, Heartbeat, Links, Log, Packet, route_key
@@ -81,6 +82,7 @@
             self, target, self.flows, self.membership, self._pacer, self.queue
         )
         self.membership.openings_waiting = self.openings.waiting
+        self._lifecycle = Lifecycle(self)
         self._make_home()
 
     def start(self, now: float) -> None:
@@ -131,36 +133,8 @@
         self.membership.tick(now)
 
     def heartbeat(self, now: float, heartbeat: Heartbeat) -> bool:
-        """Apply a heartbeat of the target; return False if it is rejected.
-
-        Without this check, another writer could name a service that doesn't exist, and
-        this agent would leave its own.
-        """
-        former = self.target.service
-        if (
-            former
-            and heartbeat.service != former
-            and not self._is_named(heartbeat.service)
-        ):
-            self.log.event(
-                "heartbeat.foreign", target=heartbeat.target, of=heartbeat.service
-            )
-            return False
-        replaced = self.target.heartbeat(now, heartbeat)
-        if replaced:
-            until = self.target.former_until
-            self.flows.forget_work()
-            ended = self.resets.end_all("target.replaced", until)
-            self.registry.announce_ended(now, ended)
-            self.queue.admit(now)
-        if heartbeat.service != former:
-            self._change_service(heartbeat.service)
-        self.membership.tick(now)
-        return True
-
-    def _is_named(self, service: str) -> bool:
-        """Return whether the configuration in force routes to a service."""
-        return any(service in r.names for r in self.routes.by_address.values())
+        """Apply a heartbeat; return False if it isn't the target's."""
+        return self._lifecycle.heartbeat(now, heartbeat)
 
     def note_ended(self, now: float, target: str, born: int | None = None) -> None:
         """Note that the target has ended."""
@@ -234,7 +208,7 @@
         if changes.homes_changed:
             self.registry.register_all()
 
-    def _change_service(self, service: str) -> None:
+    def change_service(self, service: str) -> None:
         """Switch to another service and discard all state of the former service."""
         self.log.event("service.changed", service=service)
         self.membership.restart()
--- a/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
@@ -1,9 +1,11 @@
 """Assigns heartbeats to starts of a target.
 
 A target may start again under the same name, and its sequence numbers then start anew.
-A late heartbeat of an earlier start looks similar, and accepting it would make a
-leaving target ready again. Name, start time and sequence number together distinguish
-starts; where they don't, a start counts if its heartbeats continue.
+A late heartbeat of an earlier start looks similar. Accepting it would end the flows of
+the running target, or make a leaving target ready again. A start is later than another
+one if its start time is. Where the times don't show it, a start counts once it
+continues to send heartbeats while the other one has stopped. Where targets report no
+times, a new name counts as soon as the known target is overdue.
 """
 
 from __future__ import annotations
@@ -13,25 +15,39 @@
 
 from .models import Heartbeat
 
-__all__ = ["Incarnations", "HeartbeatOrigin"]
+__all__ = ["HeartbeatOrigin", "Incarnations"]
 
-FORMER_TARGETS_LIMIT = 64
-"""Former target names remembered; late heartbeats come from the last few."""
+STARTS_LIMIT = 64
+"""Starts remembered of each kind, former and unconfirmed; late heartbeats come from the
+last few."""
 
-NEW_START_SPACING = 0.5
-"""Heartbeat intervals between two heartbeats that prove a new start by themselves.
+CONFIRMATION_SPACING = 0.5
+"""Heartbeat intervals between two heartbeats that confirm a start by themselves.
 Delayed heartbeats arrive all at once when a network cut ends."""
 
+SILENT_INTERVALS = 2.0
+"""Heartbeat intervals without a heartbeat after which the known start has stopped, so
+that another one may be confirmed. Delayed heartbeats also arrive one by one, as each is
+retransmitted on a connection of its own."""
+
+OVERDUE_INTERVALS = 1.5
+"""Heartbeat intervals after which the next heartbeat of a running target is overdue."""
+
+UNKNOWN_START_TIME = -1
+
 
 class HeartbeatOrigin(enum.Enum):
     """The start that a heartbeat comes from."""
 
     CURRENT = "current"
     STARTED = "started"
-    """A later start than the known one."""
+    """A later start than the known one, or the first one."""
 
-    LATE = "late"
-    """An earlier start, or the known one but overtaken by a later heartbeat."""
+    OVERTAKEN = "overtaken"
+    """The known start, which has sent a later heartbeat."""
+
+    UNCONFIRMED = "unconfirmed"
+    """Another start, not known to be later than the known one."""
 
 
 class _Start(NamedTuple):
@@ -41,10 +57,9 @@
     born: int | None
 
 
-class _Unconfirmed(NamedTuple):
-    """A heartbeat that is late, or the first one of a new start."""
+class _FirstSeen(NamedTuple):
+    """The first heartbeat of a start that must be confirmed."""
 
-    start: _Start
     number: int
     at: float
 
@@ -62,76 +77,91 @@
         self._beat_interval = beat_interval
         self._current: _Start | None = None
         self._number = -1
-        self._born_by_former: dict[str, int | None] = {}
-        self._unconfirmed: _Unconfirmed | None = None
+        self._last_seen_at = float("-inf")
+        self._latest_start_time = UNKNOWN_START_TIME
+        self._known_targets: dict[str, None] = {}
+        self._first_seen_by_start: dict[_Start, _FirstSeen] = {}
 
     def classify(self, now: float, heartbeat: Heartbeat) -> HeartbeatOrigin:
         """Record a heartbeat and return its origin."""
         start = _Start(heartbeat.target, heartbeat.born)
-        current = self._current
-        if current is None:
-            return self._begin(start, heartbeat)
-        if self._is_current(current, start) and heartbeat.number > self._number:
-            self._number = heartbeat.number
-            self._unconfirmed = None
-            return HeartbeatOrigin.CURRENT
-        if self._is_later(current, start) or self._persists(
+        if start == self._current:
+            return self._classify_current(now, start, heartbeat.number)
+        if self._is_later(now, start) or self._is_confirmed(
             now, start, heartbeat.number
         ):
-            self._retire(current)
-            return self._begin(start, heartbeat)
-        return HeartbeatOrigin.LATE
+            self._begin(now, start, heartbeat.number)
+            return HeartbeatOrigin.STARTED
+        return HeartbeatOrigin.UNCONFIRMED
 
-    def is_former(self, target: str, born: int | None) -> bool:
-        """Return whether a target's report comes from an earlier start."""
-        current = self._current
-        if current is None or target != current.target:
-            return target in self._born_by_former
-        return _is_later(current.born, born)
+    def _classify_current(
+        self, now: float, start: _Start, number: int
+    ) -> HeartbeatOrigin:
+        """Return the origin of a heartbeat that names the known start.
+
+        A new start may report the same name and time, and its numbers start anew.
+        """
+        follows = number > self._number
+        if not follows and not self._is_confirmed(now, start, number):
+            return HeartbeatOrigin.OVERTAKEN
+        self._accept(now, number)
+        return HeartbeatOrigin.CURRENT if follows else HeartbeatOrigin.STARTED
 
-    def _begin(self, start: _Start, heartbeat: Heartbeat) -> HeartbeatOrigin:
+    def _begin(self, now: float, start: _Start, number: int) -> None:
         self._current = start
-        self._number = heartbeat.number
-        self._unconfirmed = None
-        return HeartbeatOrigin.STARTED
-
-    def _is_current(self, current: _Start, start: _Start) -> bool:
-        same = start.born == current.born or None in (start.born, current.born)
-        return start.target == current.target and same
-
-    def _is_later(self, current: _Start, start: _Start) -> bool:
-        """Return whether a start is certainly later than the known one."""
-        if start.target == current.target:
-            return _is_later(start.born, current.born)
-        if start.target not in self._born_by_former:
-            return True
-        former = self._born_by_former[start.target]
-        return _is_later(start.born, former)
+        self._latest_start_time = max(self._latest_start_time, _start_time(start))
+        self._known_targets[start.target] = None
+        if len(self._known_targets) > STARTS_LIMIT:
+            del self._known_targets[next(iter(self._known_targets))]
+        self._accept(now, number)
+
+    def _accept(self, now: float, number: int) -> None:
+        self._number = number
+        self._last_seen_at = now
+        self._first_seen_by_start.clear()
 
-    def _persists(self, now: float, start: _Start, number: int) -> bool:
-        """Return whether an unconfirmed start continues to send heartbeats.
+    def _is_later(self, now: float, start: _Start) -> bool:
+        """Return whether a start is certainly later than all known ones.
 
-        Otherwise, after a clock has jumped back, or if a target doesn't report its
-        start time, a new start would be considered late, and the target silent for
-        ever.
+        A target that reports its start time always does.
         """
-        unconfirmed = self._unconfirmed
-        if (
-            unconfirmed is None
-            or unconfirmed.start != start
-            or number <= unconfirmed.number
-        ):
-            self._unconfirmed = _Unconfirmed(start, number, now)
+        current, latest = self._current, self._latest_start_time
+        if current is None:
+            return True
+        if latest == UNKNOWN_START_TIME and start.born is None:
+            return start.target not in self._known_targets and self._is_overdue(now)
+        # If the known start reports an earlier time than a former one, its clock was
+        # set back, and a delayed heartbeat may have a later time than both.
+        was_set_back = _start_time(current) < latest
+        return not was_set_back and _start_time(start) > latest
+
+    def _is_overdue(self, now: float) -> bool:
+        """Return whether the known start should have sent another heartbeat."""
+        return now - self._last_seen_at > OVERDUE_INTERVALS * self._beat_interval
+
+    def _is_confirmed(self, now: float, start: _Start, number: int) -> bool:
+        """Return whether a start goes on while the known one has stopped.
+
+        Otherwise, after a clock was set back, or if a target doesn't report its start
+        time, a new start would be considered late, and the target silent for ever.
+        """
+        first = self._first_seen_by_start.get(start)
+        if first is None or number <= first.number:
+            self._first_seen_by_start[start] = _FirstSeen(number, now)
+            if len(self._first_seen_by_start) > STARTS_LIMIT:
+                del self._first_seen_by_start[next(iter(self._first_seen_by_start))]
             return False
-        return now - unconfirmed.at >= NEW_START_SPACING * self._beat_interval
+        continues = now - first.at >= CONFIRMATION_SPACING * self._beat_interval
+        silence = now - self._last_seen_at
+        return continues and silence >= SILENT_INTERVALS * self._beat_interval
 
-    def _retire(self, former: _Start) -> None:
-        self._born_by_former.pop(former.target, None)
-        self._born_by_former[former.target] = former.born
-        while len(self._born_by_former) > FORMER_TARGETS_LIMIT:
-            del self._born_by_former[next(iter(self._born_by_former))]
+    def is_former(self, target: str, born: int | None) -> bool:
+        """Return whether a target's report comes from an earlier start."""
+        current = self._current
+        if current is None or target != current.target:
+            return target in self._known_targets
+        return born is not None and born < _start_time(current)
 
 
-def _is_later(born: int | None, other: int | None) -> bool:
-    """Return whether a start time is certainly after another; None is unknown."""
-    return born is not None and other is not None and born > other
+def _start_time(start: _Start) -> int:
+    return UNKNOWN_START_TIME if start.born is None else start.born
--- a/packages/zinniahook-core/src/zinniahook_core/packets/models.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/models.py
@@ -231,6 +231,10 @@
         """Return the state before the first configuration."""
         return cls(0, {}, 60.0, b"")
 
+    def names_service(self, service: str) -> bool:
+        """Return whether any route leads to a service."""
+        return any(service in route.names for route in self.by_address.values())
+
 
 def route_key(flow: bytes) -> bytes:
     """Return the service side of a flow's key."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/target.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/target.py
@@ -71,6 +71,7 @@
         self._incarnations = Incarnations(beat_interval)
         self._known_since = float("-inf")
         self._seen_from_start = False
+        self._outlived_target = False
         self._since = float("-inf")
         self._has_answered = False
         self._warm_at = 0.0
@@ -93,18 +94,17 @@
         self._since = now
         self.suspect_cold(now)
 
-    def heartbeat(self, now: float, heartbeat: Heartbeat) -> bool:
-        """Apply a heartbeat; return whether a new target has started.
+    def heartbeat(self, now: float, heartbeat: Heartbeat) -> HeartbeatOrigin:
+        """Apply a heartbeat; return its origin.
 
-        A late heartbeat of an earlier target, or one that was overtaken, is ignored. It
-        would make a leaving target ready again.
+        Only heartbeats of the known start or a later one are applied. Others would end
+        the flows of the running target, or make a leaving target ready again.
         """
-        verdict = self._incarnations.classify(now, heartbeat)
-        if verdict is HeartbeatOrigin.LATE:
-            return False
-        replaced = verdict is HeartbeatOrigin.STARTED and bool(self.name)
-        if verdict is HeartbeatOrigin.STARTED:
+        origin = self._incarnations.classify(now, heartbeat)
+        if origin is HeartbeatOrigin.STARTED:
             self._started(now, heartbeat)
+        elif origin is not HeartbeatOrigin.CURRENT:
+            return origin
         self.name = heartbeat.target
         self.service = heartbeat.service
         self.slots = max(1, heartbeat.slots)
@@ -114,7 +114,7 @@
         self._warm_at = now + heartbeat.warming
         self._heartbeat_at = now
         self.heard(now)
-        return replaced
+        return origin
 
     def _started(self, now: float, heartbeat: Heartbeat) -> None:
         """Note that the target of a heartbeat has started.
@@ -128,11 +128,17 @@
             self._heartbeat_at - self._known_since > HEARTBEAT_DELAY_SECONDS / 2
         )
         if self.name:
-            self.former_until = self._heartbeat_at - HEARTBEAT_DELAY_SECONDS
+            # A predecessor that sent a single heartbeat may have ended before: flows
+            # that were accepted earlier may be those of the target that runs now.
+            self.former_until = (
+                self._heartbeat_at - HEARTBEAT_DELAY_SECONDS
+                if seen_running
+                else float("-inf")
+            )
             self._forget_answers()
-        if (self.name and seen_running) or (
-            not self.name and self._is_first(now, heartbeat)
-        ):
+            self._outlived_target |= seen_running
+            self._seen_from_start = self._outlived_target
+        elif self._is_first(now, heartbeat):
             self._seen_from_start = True
         self._known_since = now
 
--- a/packages/zinniahook-testkit/tests/test_packet_incarnations.py
+++ b/packages/zinniahook-testkit/tests/test_packet_incarnations.py
@@ -1,15 +1,23 @@
 """Targets that start again under their former name, and late heartbeats."""
 
 import pytest
+from packet_helpers import SEEDS, open_flows
 from zinniahook_core.packets import Heartbeat, State, Target
+from zinniahook_core.packets.incarnations import HeartbeatOrigin
 from zinniahook_testkit.packetsimulation import PacketSimulation
 
 INTERVAL = 1.0
 BORN = 1_790_000_000_000
 
 
-def beat(number, born=BORN, target="t-1", leaving=False):
-    return Heartbeat(target, "tally", 4, leaving, 0.0, number, born)
+def beat(number, born=BORN, target="t-1", leaving=False, service="tally"):
+    return Heartbeat(target, service, 4, leaving, 0.0, number, born)
+
+
+def is_replaced(target, now, heartbeat):
+    """Send a heartbeat; return whether it shows that another target has started."""
+    had_target = bool(target.name)
+    return target.heartbeat(now, heartbeat) is HeartbeatOrigin.STARTED and had_target
 
 
 def running(born=BORN, beats=5):
@@ -30,16 +38,16 @@
 
     def test_a_later_time_of_birth_is_a_new_target(self):
         target, now = running()
-        assert target.heartbeat(now + 0.7, beat(1, BORN + 9000))
+        assert is_replaced(target, now + 0.7, beat(1, BORN + 9000))
         assert target.state(now + 0.8) is State.READY
         assert not target.may_be_older
 
     def test_a_late_heartbeat_of_the_earlier_start_changes_nothing(self):
         target, now = running()
         target.heartbeat(now + 1, beat(1, BORN + 9000))
-        assert not target.heartbeat(now + 2, beat(6, BORN, leaving=True))
+        assert not is_replaced(target, now + 2, beat(6, BORN, leaving=True))
         assert target.state(now + 2) is State.READY
-        assert not target.heartbeat(now + 3, beat(2, BORN + 9000))
+        assert not is_replaced(target, now + 3, beat(2, BORN + 9000))
         assert target.state(now + 3) is State.READY
 
     def test_it_does_not_end_by_a_late_report_of_its_end(self):
@@ -54,29 +62,31 @@
     def test_one_whose_time_proves_nothing_is_believed_once_it_goes_on(self, born):
         """Its clock jumped back, or it doesn't report its start time."""
         target, now = running(BORN if born else None)
-        assert not target.heartbeat(now + 4, beat(1, born))
-        assert target.heartbeat(now + 5, beat(2, born))
+        assert not is_replaced(target, now + 4, beat(1, born))
+        assert is_replaced(target, now + 5, beat(2, born))
         assert target.state(now + 5) is State.READY
 
     @pytest.mark.parametrize("born", [None, BORN, BORN - 5000])
     def test_delayed_ones_that_come_together_prove_nothing(self, born):
         target, now = running(BORN if born else None)
         for number in (1, 2, 3):
-            assert not target.heartbeat(now + 0.5 + number / 1000, beat(number, born))
-        assert not target.heartbeat(now + 1, beat(6, BORN if born else None))
+            assert not is_replaced(
+                target, now + 0.5 + number / 1000, beat(number, born)
+            )
+        assert not is_replaced(target, now + 1, beat(6, BORN if born else None))
         assert target.state(now + 1) is State.READY
 
     def test_a_name_that_comes_back_after_another_one(self):
         target, now = running()
-        assert target.heartbeat(now + 1, beat(1, BORN + 4000, "t-2"))
-        assert not target.heartbeat(now + 2, beat(9, BORN, "t-1"))
-        assert target.heartbeat(now + 3, beat(1, BORN + 8000, "t-1"))
+        assert is_replaced(target, now + 1, beat(1, BORN + 4000, "t-2"))
+        assert not is_replaced(target, now + 2, beat(9, BORN, "t-1"))
+        assert is_replaced(target, now + 3, beat(1, BORN + 8000, "t-1"))
         assert target.name == "t-1"
 
     def test_a_missing_time_is_no_new_target(self):
         target, now = running()
-        assert not target.heartbeat(now + 1, beat(6, None))
-        assert not target.heartbeat(now + 2, beat(7, BORN))
+        assert not is_replaced(target, now + 1, beat(6, None))
+        assert not is_replaced(target, now + 2, beat(7, BORN))
         assert target.state(now + 2) is State.READY
 
 
@@ -92,7 +102,7 @@
         target = Target("tally", INTERVAL)
         target.start(100.0)
         target.heartbeat(100.1, beat(40, BORN))
-        assert target.heartbeat(100.4, beat(7, BORN + 9000))
+        assert is_replaced(target, 100.4, beat(7, BORN + 9000))
         assert target.may_be_older
 
 
@@ -119,3 +129,122 @@
         reset = {flow.key for flow in flows if flow.state == "reset"}
         assert reset == lost
         assert sim.findings() == []
+
+
+class TestLateHeartbeatOfAnUnseenStart:
+    """Guards against resets of a living target's flows by a delayed heartbeat.
+
+    Its sender has crashed before any of its heartbeats arrived.
+    """
+
+    def test_it_is_not_taken(self):
+        target, now = running(BORN + 9000)
+        late = beat(1, BORN, "t-0")
+        assert target.heartbeat(now + 0.5, late) is HeartbeatOrigin.UNCONFIRMED
+        assert (target.name, target.state(now + 0.5)) == ("t-1", State.READY)
+
+    def test_several_prove_nothing_while_the_target_goes_on(self):
+        """Each is retransmitted on a connection of its own, so they come one by one."""
+        target, now = running(BORN + 9000)
+        for number in range(1, 9):
+            late = beat(number, BORN, "t-0")
+            assert not is_replaced(target, now + number - 0.4, late)
+            goes_on = beat(5 + number, BORN + 9000)
+            assert target.heartbeat(now + number, goes_on) is HeartbeatOrigin.CURRENT
+
+    def test_it_does_not_make_the_target_leave(self):
+        target, now = running(BORN + 9000)
+        target.heartbeat(now + 0.5, beat(3, BORN, "t-0", leaving=True))
+        assert target.state(now + 0.5) is State.READY
+
+    def test_a_name_without_times_waits_while_the_target_is_on_time(self):
+        target, now = running(None)
+        assert not is_replaced(target, now + 0.9, beat(1, None, "t-0"))
+        assert target.heartbeat(now + 1, beat(6, None)) is HeartbeatOrigin.CURRENT
+
+    def test_a_name_without_times_is_taken_once_the_target_is_overdue(self):
+        target, now = running(None)
+        assert is_replaced(target, now + 1.6, beat(1, None, "t-2"))
+        assert not is_replaced(target, now + 4, beat(7, None, "t-1"))
+
+    def test_one_without_a_time_is_not_taken_from_targets_that_report_it(self):
+        target, now = running()
+        assert not is_replaced(target, now + 4, beat(1, None, "t-0"))
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_flows_of_the_living_target_stay(self, seed):
+        sim = PacketSimulation(seed)
+        sim.run(2.0)
+        flows = open_flows(sim, 60, 3.0)
+        agent = next(iter(sim.agents_by_address.values()))
+        assert len(agent.core.flows)
+        late = Heartbeat("t-0", agent.service, 4, False, 0.0, 1, agent.born - 1000)
+        is_applied = agent.core.heartbeat(sim.now, late)
+        sim.run(1.0)
+        assert {flow.state for flow in flows} == {"open"}
+        assert sim.findings() == []
+        assert not is_applied
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_flows_stay_if_it_is_the_first_that_a_new_agent_receives(self, seed):
+        sim = PacketSimulation(seed)
+        sim.run(2.0)
+        flows = open_flows(sim, 60, 3.0)
+        sim.suspend_heartbeats(3.0)
+        agent = next(iter(sim.agents_by_address.values()))
+        sim.start_agent(agent)
+        sim.run(0.1)
+        for flow in flows:
+            sim.ask(flow)
+        sim.run(2.0)
+        late = Heartbeat("t-0", agent.service, 4, False, 0.0, 1, agent.born - 1000)
+        assert agent.core.heartbeat(sim.now, late)
+        sim.run(0.5)
+        sim.send_heartbeat(agent)
+        sim.run(1.0)
+        assert agent.core.target.name == agent.target.name
+        assert agent.core.target.may_be_older
+        assert {flow.state for flow in flows} == {"open"}
+        assert sim.findings() == []
+
+
+class TestLaterStartWhoseClockWasSetBack:
+    """Guards against a target that gets no flows as its start time looks earlier."""
+
+    @pytest.mark.parametrize("name", ["t-1", "t-2"])
+    def test_it_is_taken_within_seconds(self, name):
+        target, now = running()
+        moments = [now + 0.5 + number * INTERVAL for number in range(4)]
+        taken = [
+            is_replaced(target, moment, beat(number, BORN - 5000, name))
+            for number, moment in enumerate(moments, 1)
+        ]
+        assert any(taken)
+        assert target.name == name
+        assert target.state(moments[-1]) is State.READY
+
+    def test_it_is_taken_by_an_agent_that_saw_a_late_heartbeat_first(self):
+        target = Target("tally", INTERVAL)
+        target.start(0.0)
+        target.heartbeat(0.1, beat(40, BORN, "t-0"))
+        for number in range(1, 5):
+            target.heartbeat(number * INTERVAL, beat(number, BORN - 5000))
+        assert target.name == "t-1"
+
+    def test_an_earlier_start_with_a_later_time_does_not_come_back(self):
+        target, now = running()
+        for number in range(1, 5):
+            target.heartbeat(now + number * INTERVAL, beat(number, BORN - 5000, "t-2"))
+        for name, born in (("t-1", BORN), ("t-1", BORN - 1000), ("t-0", BORN + 1000)):
+            late = beat(9, born, name)
+            assert not is_replaced(target, now + 4.5 * INTERVAL, late)
+        assert target.name == "t-2"
+
+    def test_the_next_start_is_taken_within_seconds(self):
+        target, now = running()
+        for number in range(1, 5):
+            target.heartbeat(now + number * INTERVAL, beat(number, BORN - 5000, "t-2"))
+        for number in range(1, 5):
+            moment = now + (4.5 + number) * INTERVAL
+            target.heartbeat(moment, beat(number, BORN + 5000, "t-3"))
+        assert target.name == "t-3"
