Follow the service of the target, not of each heartbeat

An agent forgot the agents of its service with each late heartbeat of a target of another service, and one that had just started joined that service, so that requests could run at the wrong target.

Cause: the agent compared the heartbeat's service with its own, whether or not the target had applied the heartbeat; and a start of another service was taken like one of the own service.

Change: the service follows the target. A start in another service must be confirmed, whatever its start time is.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -208,9 +208,9 @@
         if changes.homes_changed:
             self.registry.register_all()
 
-    def change_service(self, service: str) -> None:
-        """Switch to another service and discard all state of the former service."""
-        self.log.event("service.changed", service=service)
+    def change_service(self) -> None:
+        """Switch to the target's service and discard all state of the former one."""
+        self.log.event("service.changed", service=self.target.service)
         self.membership.restart()
         self._make_home()
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
@@ -55,6 +55,7 @@
 
     target: str
     born: int | None
+    service: str
 
 
 class _FirstSeen(NamedTuple):
@@ -71,10 +72,13 @@
     ----------
     beat_interval : float
         Seconds between heartbeats.
+    service : str
+        The service that the target should belong to, "" if any.
     """
 
-    def __init__(self, beat_interval: float) -> None:
+    def __init__(self, beat_interval: float, service: str = "") -> None:
         self._beat_interval = beat_interval
+        self._service = service
         self._current: _Start | None = None
         self._number = -1
         self._last_seen_at = float("-inf")
@@ -84,7 +88,7 @@
 
     def classify(self, now: float, heartbeat: Heartbeat) -> HeartbeatOrigin:
         """Record a heartbeat and return its origin."""
-        start = _Start(heartbeat.target, heartbeat.born)
+        start = _Start(heartbeat.target, heartbeat.born, heartbeat.service)
         if start == self._current:
             return self._classify_current(now, start, heartbeat.number)
         if self._is_later(now, start) or self._is_confirmed(
@@ -109,6 +113,7 @@
 
     def _begin(self, now: float, start: _Start, number: int) -> None:
         self._current = start
+        self._service = start.service
         self._latest_start_time = max(self._latest_start_time, _start_time(start))
         self._known_targets[start.target] = None
         if len(self._known_targets) > STARTS_LIMIT:
@@ -123,8 +128,11 @@
     def _is_later(self, now: float, start: _Start) -> bool:
         """Return whether a start is certainly later than all known ones.
 
-        A target that reports its start time always does.
+        A target that reports its start time always does. A start in another service
+        must be confirmed in any case: requests of that service would come here.
         """
+        if self._service and start.service != self._service:
+            return False
         current, latest = self._current, self._latest_start_time
         if current is None:
             return True
--- a/packages/zinniahook-core/src/zinniahook_core/packets/lifecycle.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/lifecycle.py
@@ -44,8 +44,8 @@
             return False
         if origin is HeartbeatOrigin.STARTED and had_target:
             self._end_former_flows(now)
-        if heartbeat.service != former:
-            agent.change_service(heartbeat.service)
+        if target.service != former:
+            agent.change_service()
         agent.membership.tick(now)
         return True
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/target.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/target.py
@@ -68,7 +68,7 @@
         self.capacity: Capacity | None = None
         self._refused_at = float("-inf")
         self._heartbeat_interval = beat_interval
-        self._incarnations = Incarnations(beat_interval)
+        self._incarnations = Incarnations(beat_interval, service)
         self._known_since = float("-inf")
         self._seen_from_start = False
         self._outlived_target = False
--- a/packages/zinniahook-testkit/tests/test_packet_incarnations.py
+++ b/packages/zinniahook-testkit/tests/test_packet_incarnations.py
@@ -248,3 +248,55 @@
             moment = now + (4.5 + number) * INTERVAL
             target.heartbeat(moment, beat(number, BORN + 5000, "t-3"))
         assert target.name == "t-3"
+
+
+class TestHeartbeatsOfAnotherService:
+    """Guards against requests of one service that run at a target of another one.
+
+    A late heartbeat may come from a target that had the address before.
+    """
+
+    def test_a_later_one_is_not_taken_while_the_target_goes_on(self):
+        target, now = running()
+        for number in range(1, 5):
+            other = beat(number, BORN + 9000, "t-2", service="ledger")
+            assert not is_replaced(target, now + number - 0.5, other)
+            target.heartbeat(now + number, beat(5 + number))
+        assert target.service == "tally"
+
+    def test_it_is_not_taken_under_the_name_of_the_target(self):
+        target, now = running()
+        other = beat(6, service="ledger")
+        assert target.heartbeat(now + 1, other) is HeartbeatOrigin.UNCONFIRMED
+        assert target.service == "tally"
+
+    def test_a_new_agent_does_not_take_a_single_one(self):
+        target = Target("tally", INTERVAL)
+        target.start(0.0)
+        assert target.heartbeat(0.1, beat(9, service="ledger")) is not (
+            HeartbeatOrigin.STARTED
+        )
+        assert (target.name, target.service) == ("", "tally")
+
+    def test_a_target_that_goes_on_in_another_service_is_taken(self):
+        target, now = running()
+        for number in range(1, 5):
+            other = beat(number, BORN + 9000, "t-2", service="ledger")
+            target.heartbeat(now + number * INTERVAL, other)
+        assert (target.name, target.service) == ("t-2", "ledger")
+
+    @pytest.mark.parametrize("seed", SEEDS[:3])
+    def test_the_agent_keeps_its_peers_and_flows(self, seed):
+        """A late heartbeat must not empty the list of the service's agents."""
+        sim = PacketSimulation(seed, {"tally": 4, "ledger": 2})
+        sim.run(2.0)
+        agent = next(iter(sim.agents_by_address.values()))
+        peers = set(agent.core.roster.by_address)
+        flows = open_flows(sim, 30, 3.0)
+        late = Heartbeat(agent.target.name, "ledger", 4, False, 0.0, 1, agent.born - 1)
+        is_applied = agent.core.heartbeat(sim.now, late)
+        assert set(agent.core.roster.by_address) == peers
+        sim.run(1.0)
+        assert {flow.state for flow in flows} == {"open"}
+        assert sim.findings() == []
+        assert not is_applied
