Keep a target's flows though its numbers fall behind

Callers would be reset if another writer's heartbeat had the name and start time of a living target and a number far above the target's own.

Cause: numbers that start anew under one name were taken for a new start though the start time was the same, and a new start ends the flows of the former one.

Change: a start is named by its name and start time. Lower numbers that go on are counted from again, and nothing else changes. A target that was started again all the same returns the packets of its former flows, which ends them one by one.

Two starts of one name can't have the same millisecond unless a clock was set back by exactly the time between them; its flows end by what the target returns then.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
@@ -103,13 +103,17 @@
     ) -> HeartbeatOrigin:
         """Return the origin of a heartbeat that names the known start.
 
-        A new start may report the same name and time, and its numbers start anew.
+        Lower numbers that are confirmed belong to the same start if it reports its
+        start time: a number that another writer sent was too high, and the target still
+        holds its flows.
         """
         follows = number > self._number
         if not follows and not self._is_confirmed(now, start, number):
             return HeartbeatOrigin.OVERTAKEN
         self._accept(now, number)
-        return HeartbeatOrigin.CURRENT if follows else HeartbeatOrigin.STARTED
+        if follows or start.born is not None:
+            return HeartbeatOrigin.CURRENT
+        return HeartbeatOrigin.STARTED
 
     def _begin(self, now: float, start: _Start, number: int) -> None:
         self._current = start
