Believe the end of a target only from the target itself

An agent that believes that its target has ended tells its peers, and they reset flows which that target still serves.

An agent that had received no heartbeat yet believed any name. And a heartbeat that was sent before the end and arrived after it made the agent announce the target again.

Change: an end is believed at once if name and start time are those of the known start. If it may be the target's all the same, the agent connects to the target's address for up to 2 s and believes it once that refuses; an exited process refuses at once. Heartbeats of a start that has ended are late unless they go on. Two model tests that end a target by hand now tell its start time, as the model's targets report one; they ask for the same.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -136,11 +136,13 @@
         """Apply a heartbeat; return False if it isn't the target's."""
         return self._lifecycle.heartbeat(now, heartbeat)
 
-    def note_ended(self, now: float, target: str, born: int | None = None) -> None:
-        """Note that the target has ended."""
-        self.target.note_ended(target, born)
-        self.home.hand_over()
-        self.membership.tick(now)
+    def note_ended(self, now: float, target: str, born: int | None = None) -> bool:
+        """Note that a target reports its end; return whether it is the known one."""
+        return self._lifecycle.note_ended(now, target, born)
+
+    def note_vanished(self, now: float) -> None:
+        """Note that no process runs any more where the target did."""
+        self._lifecycle.note_vanished(now)
 
     def note_absent(self, now: float) -> None:
         """Note that no target runs on this instance, if none has been seen."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
@@ -44,7 +44,7 @@
     """A later start than the known one, or the first one."""
 
     OVERTAKEN = "overtaken"
-    """The known start, which has sent a later heartbeat."""
+    """The known start, which has sent a later heartbeat or has ended."""
 
     UNCONFIRMED = "unconfirmed"
     """Another start, not known to be later than the known one."""
@@ -81,6 +81,7 @@
         self._service = service
         self._current: _Start | None = None
         self._number = -1
+        self._has_ended = False
         self._last_seen_at = float("-inf")
         self._latest_start_time = UNKNOWN_START_TIME
         self._known_targets: dict[str, None] = {}
@@ -107,7 +108,7 @@
         start time: a number that another writer sent was too high, and the target still
         holds its flows.
         """
-        follows = number > self._number
+        follows = number > self._number and not self._has_ended
         if not follows and not self._is_confirmed(now, start, number):
             return HeartbeatOrigin.OVERTAKEN
         self._accept(now, number)
@@ -126,6 +127,7 @@
 
     def _accept(self, now: float, number: int) -> None:
         self._number = number
+        self._has_ended = False
         self._last_seen_at = now
         self._first_seen_by_start.clear()
 
@@ -148,8 +150,9 @@
         return not was_set_back and _start_time(start) > latest
 
     def _is_overdue(self, now: float) -> bool:
-        """Return whether the known start should have sent another heartbeat."""
-        return now - self._last_seen_at > OVERDUE_INTERVALS * self._beat_interval
+        """Return whether the known start has ended or should have sent a heartbeat."""
+        silence = now - self._last_seen_at
+        return self._has_ended or silence > OVERDUE_INTERVALS * self._beat_interval
 
     def _is_confirmed(self, now: float, start: _Start, number: int) -> bool:
         """Return whether a start goes on while the known one has stopped.
@@ -167,12 +170,16 @@
         silence = now - self._last_seen_at
         return continues and silence >= SILENT_INTERVALS * self._beat_interval
 
-    def is_former(self, target: str, born: int | None) -> bool:
-        """Return whether a target's report comes from an earlier start."""
+    def end(self, target: str, born: int | None) -> bool:
+        """Record that a target reports its end; return whether it is the known start.
+
+        Heartbeats of that start that arrive later were delayed.
+        """
         current = self._current
-        if current is None or target != current.target:
-            return target in self._known_targets
-        return born is not None and born < _start_time(current)
+        if current is None or (target, born) != (current.target, current.born):
+            return False
+        self._has_ended = True
+        return True
 
 
 def _start_time(start: _Start) -> int:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/lifecycle.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/lifecycle.py
@@ -14,7 +14,7 @@
 
 
 class Lifecycle:
-    """The starts of one agent's target.
+    """The starts and the end of one agent's target.
 
     Parameters
     ----------
@@ -64,3 +64,23 @@
         ended = agent.resets.end_all("target.replaced", agent.target.former_until)
         agent.registry.announce_ended(now, ended)
         agent.queue.admit(now)
+
+    def note_ended(self, now: float, target: str, born: int | None) -> bool:
+        """Note that a target reports its end; return whether it is the known one."""
+        agent = self._agent
+        if not agent.target.note_ended(target, born):
+            agent.log.event(
+                "end.unconfirmed", target=target, born=born, current=agent.target.name
+            )
+            return False
+        self._hand_over(now)
+        return True
+
+    def note_vanished(self, now: float) -> None:
+        """Note that no process runs any more where the target did."""
+        self._agent.target.note_vanished()
+        self._hand_over(now)
+
+    def _hand_over(self, now: float) -> None:
+        self._agent.home.hand_over()
+        self._agent.membership.tick(now)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/target.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/target.py
@@ -176,13 +176,28 @@
         """
         return not self._seen_from_start
 
-    def note_ended(self, target: str, born: int | None = None) -> None:
-        """Note that the target has announced its end; ignore earlier targets."""
-        if self._incarnations.is_former(target, born):
-            return
-        if target == self.name or not self.name:
-            self.leaving = True
-            self.gone = True
+    def note_ended(self, target: str, born: int | None = None) -> bool:
+        """Note that a target reports its end; return whether it is the known one.
+
+        Reports of earlier starts and of other writers change nothing. Otherwise other
+        agents would reset flows that the running target holds.
+        """
+        is_known = self._incarnations.end(target, born)
+        if is_known:
+            self.note_vanished()
+        return is_known
+
+    def may_have_ended(self, target: str, born: int | None) -> bool:
+        """Return whether an end that wasn't believed may still be the target's.
+
+        No heartbeat has arrived yet, or the report lacks the start time.
+        """
+        return not self.name or (target == self.name and born is None)
+
+    def note_vanished(self) -> None:
+        """Note that the target holds no flows any more."""
+        self.leaving = True
+        self.gone = True
 
     @property
     def is_known(self) -> bool:
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/roles.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/roles.py
@@ -37,6 +37,10 @@
 doubles after each probe that finds none."""
 
 
+END_CONFIRMATION_SECONDS = 2.0
+"""Seconds for which a target may still run after it has reported its end."""
+
+
 class EntryDaemon(Daemon):
     """The process of an entry."""
 
@@ -246,8 +250,24 @@
         return self.core.heartbeat(time.monotonic(), beat)
 
     def target_ended(self, target: str, born: int | None) -> None:
-        """Handle the target's notice that it has ended."""
-        self.core.note_ended(time.monotonic(), target, born)
+        """Handle the target's notice that it has ended.
+
+        If it isn't certain that the running target sent it, nothing changes before the
+        target's address refuses connections.
+        """
+        if self.core.note_ended(time.monotonic(), target, born):
+            return
+        if self.core.target.may_have_ended(target, born):
+            self.start(self._confirm_end(self.core.target.name))
+
+    async def _confirm_end(self, name: str) -> None:
+        """Wait for a while until the target no longer runs."""
+        until = time.monotonic() + END_CONFIRMATION_SECONDS
+        while time.monotonic() < until and self.core.target.name == name:
+            if await self._is_target_listening() is False:
+                self.core.note_vanished(time.monotonic())
+                return
+            await asyncio.sleep(MIN_TARGET_PROBE_SECONDS)
 
     async def drain(self) -> None:
         """Hand over new openings, and stop when no request is in progress.
@@ -292,20 +312,27 @@
         """
         if self.core.target.is_known:
             return True
+        is_listening = await self._is_target_listening()
+        if is_listening is False:
+            if not self.core.target.gone:
+                self.journal.event("target.absent", outcome="nothing is held here")
+            self.core.note_absent(time.monotonic())
+        elif is_listening:
+            self.core.note_appeared(time.monotonic())
+        return bool(is_listening)
+
+    async def _is_target_listening(self) -> bool | None:
+        """Return whether a process listens at the target's address, None if unknown."""
         try:
             connection = asyncio.open_connection(*self.settings.target)
             _, writer = await asyncio.wait_for(
                 connection, TARGET_CONNECT_TIMEOUT_SECONDS
             )
-            writer.close()
         except ConnectionRefusedError:
-            if not self.core.target.gone:
-                self.journal.event("target.absent", outcome="nothing is held here")
-            self.core.note_absent(time.monotonic())
             return False
         except (OSError, TimeoutError):
-            return False
-        self.core.note_appeared(time.monotonic())
+            return None
+        writer.close()
         return True
 
     def _from_target(self, data: bytes, source: tuple) -> None:
--- a/packages/zinniahook-daemon/tests/test_packet_roles.py
+++ b/packages/zinniahook-daemon/tests/test_packet_roles.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 from zinniahook_core.models import Address
@@ -64,6 +65,45 @@
         assert probed_state(daemon) is State.READY
 
 
+BEAT = Heartbeat("t-1", "tally", 4, False, 0.0, 3, 1_790_000_000_000)
+
+
+class TestEndThatIsNotCertain:
+    """Guards against resets of flows that a running target holds.
+
+    A late or forged report says that the target has ended. Other agents search no
+    further at an agent whose target has ended.
+    """
+
+    def reported_state(self, listener, beat, target, *, listening):
+        """Report an end without a start time; return the state announced then."""
+        daemon = agent(Address(*listener.getsockname()))
+        if not listening:
+            listener.close()
+
+        async def run():
+            if beat is not None:
+                daemon.core.heartbeat(time.monotonic(), beat)
+            daemon.target_ended(target, None)
+            await asyncio.sleep(0.3)
+            return daemon.core.membership.state(time.monotonic())
+
+        return asyncio.run(run())
+
+    @pytest.mark.parametrize("beat", [None, BEAT])
+    def test_it_is_believed_once_the_address_refuses(self, listener, beat):
+        state = self.reported_state(listener, beat, "t-1", listening=False)
+        assert state is State.ENDED
+
+    def test_it_is_not_while_the_target_listens(self, listener):
+        state = self.reported_state(listener, BEAT, "t-1", listening=True)
+        assert state is State.READY
+
+    def test_another_name_is_ignored(self, listener):
+        state = self.reported_state(listener, BEAT, "t-0", listening=False)
+        assert state is State.READY
+
+
 class SilentLink:
     """A socket that discards its datagrams."""
 
--- a/packages/zinniahook-testkit/tests/test_packet_endings.py
+++ b/packages/zinniahook-testkit/tests/test_packet_endings.py
@@ -27,7 +27,7 @@
         sim = PacketSimulation(seed, {"tally": 8})
         flows = open_flows(sim, 60, 2.0)
         agent = next(iter(sim.agents_by_address.values()))
-        agent.core.note_ended(sim.now, agent.target.name)
+        agent.core.note_ended(sim.now, agent.target.name, agent.born)
         self.ended(sim, agent)
         lost = [flow for flow in flows if not sim.is_held(flow)]
         assert lost
--- a/packages/zinniahook-testkit/tests/test_packet_incarnations.py
+++ b/packages/zinniahook-testkit/tests/test_packet_incarnations.py
@@ -320,3 +320,46 @@
         assert {flow.state for flow in flows} == {"open"}
         assert sim.findings() == []
         assert not is_applied
+
+
+class TestReportedEnds:
+    """Guards against resets of flows at a target that is said to have ended.
+
+    Other agents search no further at an agent whose target has ended.
+    """
+
+    @pytest.mark.parametrize(
+        ("name", "born"),
+        [("t-1", BORN - 9000), ("t-1", None), ("t-0", BORN), ("t-0", None)],
+    )
+    def test_one_of_an_earlier_start_changes_nothing(self, name, born):
+        target, now = running()
+        assert not target.note_ended(name, born)
+        assert target.state(now) is State.READY
+
+    @pytest.mark.parametrize("born", [None, BORN])
+    def test_one_that_a_new_agent_receives_first_changes_nothing(self, born):
+        target = Target("tally", INTERVAL)
+        target.start(0.0)
+        assert not target.note_ended("t-0", born)
+        assert target.state(0.1) is State.STARTING
+        assert target.may_have_ended("t-0", born)
+
+    @pytest.mark.parametrize("born", [None, BORN])
+    def test_that_of_the_target_is_believed(self, born):
+        target, _ = running(born)
+        assert target.note_ended("t-1", born)
+        assert target.gone
+
+    def test_a_delayed_heartbeat_does_not_bring_the_target_back(self):
+        target, now = running()
+        target.note_ended("t-1", BORN)
+        assert target.heartbeat(now + 1, beat(6)) is HeartbeatOrigin.OVERTAKEN
+        assert target.gone
+
+    def test_a_target_that_goes_on_is_believed_again(self):
+        target, now = running()
+        target.note_ended("t-1", BORN)
+        for number in range(1, 5):
+            target.heartbeat(now + number * INTERVAL, beat(5 + number))
+        assert target.state(now + 4 * INTERVAL) is State.READY
--- a/packages/zinniahook-testkit/tests/test_packet_verdicts.py
+++ b/packages/zinniahook-testkit/tests/test_packet_verdicts.py
@@ -244,7 +244,7 @@
         flows = open_flows(sim, 400, 2.0)
         for agent in list(sim.agents_by_address.values())[:10]:
             agent.target.alive = False
-            agent.core.note_ended(sim.now, agent.target.name)
+            agent.core.note_ended(sim.now, agent.target.name, agent.born)
             agent.core.leave(sim.now)
             sim.run(0.2)
             agent.core.announce_end(sim.now)
@@ -285,7 +285,7 @@
         for address in leaving:
             agent = sim.agents_by_address[address]
             agent.target.alive = False
-            agent.core.note_ended(sim.now, agent.target.name)
+            agent.core.note_ended(sim.now, agent.target.name, agent.born)
         sim.run(0.3)
         forget_hints(sim)
         sim.ask(flow)
