--- a/packages/zinniahook-core/src/zinniahook_core/packets/formers.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/formers.py
@@ -124,6 +124,10 @@
                 del self._until_by_address[address]
 
 
+RECORD_LIMIT_BYTES = 8 << 20
+"""Largest size of a decompressed part. Another writer's megabyte could otherwise become
+a gigabyte."""
+
 BUCKETS = 16
 """Parts of the record, each under its own key, so that a change writes one of them
 instead of the whole record."""
@@ -211,7 +215,7 @@
 def decode(value: bytes) -> Record:
     """Decode a stored record; unreadable parts are skipped."""
     try:
-        fields = json.loads(zlib.decompress(value))
+        fields = json.loads(zlib.decompressobj().decompress(value, RECORD_LIMIT_BYTES))
     except (ValueError, zlib.error, RecursionError):
         return Record({})
     if not isinstance(fields, dict):
@@ -227,7 +231,12 @@
         return None
     if len(key) != ADDRESS_SIZE or not isinstance(names, list):
         return None
-    return key, frozenset(name for name in names if isinstance(name, str))
+    return key, frozenset(name for name in names if _is_name(name))
+
+
+def _is_name(value: Any) -> bool:
+    """Return whether a value is a text that can be encoded, and not empty."""
+    return isinstance(value, str) and bool(value) and value.isprintable()
 
 
 def merged(records: Iterable[Record]) -> Record:
--- a/packages/zinniahook-core/tests/test_packet_restores.py
+++ b/packages/zinniahook-core/tests/test_packet_restores.py
@@ -1,7 +1,10 @@
 """The evacuations in force after the store was restored from an older copy."""
 
+import json
+import zlib
+
 import pytest
-from zinniahook_core.packets import tunnel
+from zinniahook_core.packets import formers, tunnel
 from zinniahook_core.packets.eras import (
     ERA_LIMIT,
     POSITION_LIMIT,
@@ -244,6 +247,21 @@
         assert evacuations_at(900, A, 2).merge(body) is None
 
 
+class TestRecordsOfAnotherWriter:
+    """Guards against daemons that end as they read the record of former services."""
+
+    def encoded(self, fields):
+        return zlib.compress(json.dumps(fields).encode())
+
+    def test_names_that_cannot_be_sent_are_left_out(self):
+        found = formers.decode(self.encoded({"00" * 6: ["tally", "\ud800", 7, ""]}))
+        assert found.services_by_address == {bytes(6): frozenset({"tally"})}
+
+    def test_one_that_is_too_large_is_left_out(self):
+        large = self.encoded({"00" * 6: ["t" * formers.RECORD_LIMIT_BYTES]})
+        assert formers.decode(large).services_by_address == {}
+
+
 class TestFormerServicesOfACopy:
     def test_are_learned_as_incomplete(self):
         formers = FormerServices()
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/recorder.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/recorder.py
@@ -34,6 +34,9 @@
 """Name of the value that holds the latest era in which a daemon with complete
 knowledge has written or checked the record."""
 
+ERA_DIGITS = 7
+"""Digits of the highest era."""
+
 
 class Recorder:
     """Reads and writes the record for one daemon.
@@ -142,8 +145,7 @@
         self._era = max([era, *(each.era for each in kept)])
         self._values_by_name = {each.name: each for each in kept}
         self._recorded = formers.merged(formers.decode(each.value) for each in kept)
-        stored_era = self._values_by_name.get(CHECKED_ERA_NAME)
-        self._checked_era = _parse_number(stored_era.value) if stored_era else 0
+        self._update_checked_era()
 
     async def _write_missing(self, wanted: Record) -> bool:
         """Write the parts that the store lacks.
@@ -173,19 +175,22 @@
                 revision=written.revision, era=written.era
             )
         self._recorded = formers.merged([self._recorded, wanted])
-        self._checked_era = _parse_number(
-            self._values_by_name.get(CHECKED_ERA_NAME, NO_CHECKED_ERA).value
-        )
+        self._update_checked_era()
         self._journal.event("record.written", parts=len(changes), era=self._era)
         return True
 
+    def _update_checked_era(self) -> None:
+        """Parse the stored checked era; 0 if it is absent or another writer's.
 
-NO_CHECKED_ERA = StoredValue(CHECKED_ERA_NAME, b"0", 0)
+        An era that the store hasn't reached would make every later record seem
+        complete.
+        """
+        stored = self._values_by_name.get(CHECKED_ERA_NAME, NO_CHECKED_ERA).value
+        era = int(stored) if stored.isdigit() and len(stored) <= ERA_DIGITS else 0
+        self._checked_era = era if era <= self._era else 0
 
 
-def _parse_number(value: bytes) -> int:
-    """Parse a stored number; return 0 if it is malformed."""
-    return int(value) if value.isdigit() else 0
+NO_CHECKED_ERA = StoredValue(CHECKED_ERA_NAME, b"0", 0)
 
 
 def _missing_parts(
--- a/packages/zinniahook-daemon/tests/test_packet_restored.py
+++ b/packages/zinniahook-daemon/tests/test_packet_restored.py
@@ -270,5 +270,15 @@
         assert store.recorded() == {"floor", "docs"}
         assert store.kept_by_name[CHECKED_ERA_NAME].value == b"1"
 
+    @pytest.mark.parametrize("era", [b"3", b"9" * 5000, b"-1", "\u0663".encode()])
+    def test_an_era_that_the_store_has_not_reached_proves_nothing(self, era):
+        store, node = RestorableStore(), FakeNode()
+        node.configure(0.0, routes(4, "floor"))
+        write_record(Recorder(node, store, FakeJournal()), 1)
+        store.restore(store.copy())
+        marked = store.kept_by_name[CHECKED_ERA_NAME]._replace(value=era)
+        store.kept_by_name[CHECKED_ERA_NAME] = marked
+        assert not self.started(store, 2)[0].formers.is_complete
+
     def test_an_empty_record_is_complete(self):
         assert self.started(RestorableStore(), 1)[0].formers.is_complete
