Send versions of more than 32 bits

Cause: the head of a datagram had four bytes for the version. `struct.error` isn't an error that a daemon goes on after.

Change: a second form of the head with eight bytes, under a magic number of its own. It is sent only for versions that need it: datagrams cost no more otherwise, and daemons of an older release, which end at such versions anyway, understand all others.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/tunnel.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/tunnel.py
@@ -20,6 +20,7 @@
 
 __all__ = [
     "FLOW_SIZE",
+    "VERSION_LIMIT",
     "Head",
     "Kind",
     "Mark",
@@ -45,6 +46,10 @@
 ]
 
 HEAD = struct.Struct("!BBBBIHHI4s4sQI")
+WIDE_HEAD = struct.Struct("!BBBBQHHI4s4sQI")
+"""The head with a version of 8 bytes. It is sent only for versions that need it, so
+that daemons of an older release understand all other datagrams."""
+
 STATUS = struct.Struct("!QBHHHBH")
 ENDED = struct.Struct("!12sI")
 FLOW_SIZE = 12
@@ -67,8 +72,14 @@
 """IP addresses cached in both forms; a daemon has fewer peers than that."""
 
 MAGIC = 0x50
+WIDE_MAGIC = 0x60
 """Upper half of the first byte, which foreign datagrams rarely have."""
 
+HEADS_BY_MAGIC = {MAGIC: HEAD, WIDE_MAGIC: WIDE_HEAD}
+NARROW_VERSION_LIMIT = 1 << 32
+VERSION_LIMIT = 1 << 63
+"""Readers in other languages decode 8 bytes as a signed number."""
+
 
 class Kind(enum.IntEnum):
     """The kind of a datagram."""
@@ -232,8 +243,9 @@
         # become younger with each daemon that passes it on, and a version that
         # was not confirmed for seconds would seem fresh everywhere.
         units = min(AGE_UNKNOWN - 1, math.ceil(max(0.0, head.age) / AGE_UNIT) + 1)
-    packed = HEAD.pack(
-        MAGIC | head.kind,
+    is_wide = head.version >= NARROW_VERSION_LIMIT
+    packed = (WIDE_HEAD if is_wide else HEAD).pack(
+        (WIDE_MAGIC if is_wide else MAGIC) | head.kind,
         head.marks,
         head.hops,
         head.reason,
@@ -251,7 +263,8 @@
 
 def decode(data: bytes) -> tuple[Head, bytes] | None:
     """Return the head and the body of a datagram, or None if it is malformed."""
-    if len(data) < HEAD.size or data[0] & 0xF0 != MAGIC:
+    layout = HEADS_BY_MAGIC.get(data[0] & 0xF0) if data else None
+    if layout is None or len(data) < layout.size:
         return None
     (
         first,
@@ -266,7 +279,7 @@
         watcher,
         evacuated_at,
         evacuated,
-    ) = HEAD.unpack_from(data)
+    ) = layout.unpack_from(data)
     kind = first & 0x0F
     if kind not in KINDS:
         return None
@@ -285,7 +298,7 @@
         evacuated_at,
         evacuated,
     )
-    return head, data[HEAD.size :]
+    return head, data[layout.size :]
 
 
 class Status(NamedTuple):
--- a/packages/zinniahook-core/tests/test_packet_restores.py
+++ b/packages/zinniahook-core/tests/test_packet_restores.py
@@ -247,6 +247,28 @@
         assert evacuations_at(900, A, 2).merge(body) is None
 
 
+class TestLargeVersions:
+    """Guards against daemons that end whenever they send such a version.
+
+    Operators may number their configurations by time stamps.
+    """
+
+    @pytest.mark.parametrize(
+        "version", [1, (1 << 32) - 1, 1 << 32, 1_790_000_000_000, (1 << 63) - 1]
+    )
+    def test_are_sent_and_received(self, version):
+        head = Head(Kind.STATUS, version=version, service=7, evacuated_at=9)
+        assert tunnel.decode(tunnel.encode(head, b"body")) == (head, b"body")
+
+    def test_small_ones_are_sent_as_in_older_releases(self):
+        sent = tunnel.encode(Head(Kind.HELLO, version=(1 << 32) - 1))
+        assert (sent[0] & 0xF0, len(sent)) == (0x50, 36)
+
+    def test_a_head_that_is_cut_short_is_malformed(self):
+        whole = tunnel.encode(Head(Kind.HELLO, version=1 << 40))
+        assert all(tunnel.decode(whole[:size]) is None for size in range(len(whole)))
+
+
 class TestRecordsOfAnotherWriter:
     """Guards against daemons that end as they read the record of former services."""
 
