Acknowledge a drain only once openings end

A target that drains could get openings for seconds after its report of that was acknowledged.

Cause: after another writer's number too high the target's own heartbeats count as overtaken until they are confirmed, and overtaken ones were acknowledged. Found by reading the change of the numbers.

Change: an overtaken heartbeat that reports a drain is acknowledged only if the target is known to leave. Besides, a target's name that comes back is remembered as the newest, so that it isn't the first one to be forgotten.

Measured: the new test fails without the change, on the acknowledgement.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
@@ -120,6 +120,7 @@
         self._current = start
         self._service = start.service
         self._latest_start_time = max(self._latest_start_time, _start_time(start))
+        self._known_targets.pop(start.target, None)
         self._known_targets[start.target] = None
         if len(self._known_targets) > STARTS_LIMIT:
             del self._known_targets[next(iter(self._known_targets))]
--- a/packages/zinniahook-core/src/zinniahook_core/packets/lifecycle.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/lifecycle.py
@@ -42,6 +42,9 @@
         if origin is HeartbeatOrigin.UNCONFIRMED:
             self._reject("heartbeat.unconfirmed", heartbeat)
             return False
+        if heartbeat.leaving and not target.leaving:
+            # It was overtaken by a number that another writer sent.
+            return False
         if origin is HeartbeatOrigin.STARTED and had_target:
             self._end_former_flows(now)
         if target.service != former:
--- a/packages/zinniahook-testkit/tests/test_packet_incarnations.py
+++ b/packages/zinniahook-testkit/tests/test_packet_incarnations.py
@@ -269,6 +269,22 @@
         assert HeartbeatOrigin.STARTED not in origins
         assert target.state(now + 4 * INTERVAL) is State.READY
 
+    def test_a_drain_is_acknowledged_only_once_openings_end(self):
+        sim = PacketSimulation(1)
+        sim.run(3.0)
+        agent = next(iter(sim.agents_by_address.values()))
+        name, born = agent.target.name, agent.born
+        agent.core.heartbeat(
+            sim.now, Heartbeat(name, agent.service, 4, False, 0.0, 1 << 40, born)
+        )
+        agent.target.leaving = True
+        sim.send_heartbeat(agent)
+        leaving = Heartbeat(name, agent.service, 4, True, 0.0, agent.heartbeats, born)
+        assert not agent.core.heartbeat(sim.now, leaving)
+        sim.run(5.0)
+        assert agent.core.target.leaving
+        assert agent.core.heartbeat(sim.now, leaving)
+
 
 class TestHeartbeatsOfAnotherService:
     """Guards against requests of one service that run at a target of another one.
