Take a start as later only if it can have followed the known one

Found by asking, for each rule that decides which start is later, what a clock that was set back does to it; shown by the model, not by processes.

Change: the agent's process adds how old a start is by the clock of its instance, which the target shares. A start that began before the known one's last heartbeat (less 1 s, which a heartbeat may be under way), or in the future, must be confirmed, so it is taken within three heartbeats if it really is later.

Tried and dropped: any other start waits until the known one is overdue, 1.5 intervals after its last heartbeat.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/incarnations.py
@@ -3,9 +3,10 @@
 A target may start again under the same name, and its sequence numbers then start anew.
 A late heartbeat of an earlier start looks similar. Accepting it would end the flows of
 the running target, or make a leaving target ready again. A start is later than another
-one if its start time is. Where the times don't show it, a start counts once it
-continues to send heartbeats while the other one has stopped. Where targets report no
-times, a new name counts as soon as the known target is overdue.
+one if its start time is, unless it started before the other one's last heartbeat. Where
+that doesn't hold, a start counts once it continues to send heartbeats while the other
+one has stopped. Where targets report no times, a new name counts as soon as the known
+target is overdue.
 """
 
 from __future__ import annotations
@@ -33,6 +34,9 @@
 OVERDUE_INTERVALS = 1.5
 """Heartbeat intervals after which the next heartbeat of a running target is overdue."""
 
+CLOCK_TOLERANCE_SECONDS = 1.0
+"""A heartbeat may be in transit for this long; its sender gives up then."""
+
 UNKNOWN_START_TIME = -1
 
 
@@ -92,7 +96,7 @@
         start = _Start(heartbeat.target, heartbeat.born, heartbeat.service)
         if start == self._current:
             return self._classify_current(now, start, heartbeat.number)
-        if self._is_later(now, start) or self._is_confirmed(
+        if self._is_later(now, start, heartbeat.age) or self._is_confirmed(
             now, start, heartbeat.number
         ):
             self._begin(now, start, heartbeat.number)
@@ -132,7 +136,7 @@
         self._last_seen_at = now
         self._first_seen_by_start.clear()
 
-    def _is_later(self, now: float, start: _Start) -> bool:
+    def _is_later(self, now: float, start: _Start, age: float | None) -> bool:
         """Return whether a start is certainly later than all known ones.
 
         A target that reports its start time always does. A start in another service
@@ -140,15 +144,24 @@
         """
         if self._service and start.service != self._service:
             return False
-        current, latest = self._current, self._latest_start_time
-        if current is None:
+        latest = self._latest_start_time
+        if self._current is None:
             return True
         if latest == UNKNOWN_START_TIME and start.born is None:
             return start.target not in self._known_targets and self._is_overdue(now)
-        # If the known start reports an earlier time than a former one, its clock was
-        # set back, and a delayed heartbeat may have a later time than both.
-        was_set_back = _start_time(current) < latest
-        return not was_set_back and _start_time(start) > latest
+        return _start_time(start) > latest and self._may_follow(now, age)
+
+    def _may_follow(self, now: float, age: float | None) -> bool:
+        """Return whether a target of some age can have replaced the known one.
+
+        It must have started after the known one's last heartbeat. Otherwise, if a clock
+        was set back, a delayed heartbeat of an earlier target would count as later.
+        """
+        if age is None:
+            return True
+        started_at = now - age
+        earliest = self._last_seen_at - CLOCK_TOLERANCE_SECONDS
+        return earliest <= started_at <= now + CLOCK_TOLERANCE_SECONDS
 
     def _is_overdue(self, now: float) -> bool:
         """Return whether the known start has ended or should have sent a heartbeat."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/models.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/models.py
@@ -142,7 +142,8 @@
     """A heartbeat of a target.
 
     ``warming`` is for how many seconds it stays slow. ``born`` is its start in
-    milliseconds of its own clock, None if it isn't reported.
+    milliseconds of its own clock, None if it isn't reported. ``age`` is the seconds
+    since then by the clock of the agent's instance, None if unknown.
     """
 
     target: str
@@ -152,6 +153,7 @@
     warming: float
     number: int
     born: int | None = None
+    age: float | None = None
 
 
 class ServiceShare(NamedTuple):
--- a/packages/zinniahook-daemon/src/zinniahook_daemon/packets/roles.py
+++ b/packages/zinniahook-daemon/src/zinniahook_daemon/packets/roles.py
@@ -247,6 +247,8 @@
                 "heartbeat.elsewhere", target=beat.target, address=str(address)
             )
             return False
+        if beat.born is not None:
+            beat = beat._replace(age=time.time() - beat.born / 1000)
         return self.core.heartbeat(time.monotonic(), beat)
 
     def target_ended(self, target: str, born: int | None) -> None:
--- a/packages/zinniahook-testkit/tests/test_packet_incarnations.py
+++ b/packages/zinniahook-testkit/tests/test_packet_incarnations.py
@@ -10,8 +10,8 @@
 BORN = 1_790_000_000_000
 
 
-def beat(number, born=BORN, target="t-1", leaving=False, service="tally"):
-    return Heartbeat(target, service, 4, leaving, 0.0, number, born)
+def beat(number, born=BORN, target="t-1", leaving=False, service="tally", age=None):
+    return Heartbeat(target, service, 4, leaving, 0.0, number, born, age)
 
 
 def is_replaced(target, now, heartbeat):
@@ -235,11 +235,50 @@
         target, now = running()
         for number in range(1, 5):
             target.heartbeat(now + number * INTERVAL, beat(number, BORN - 5000, "t-2"))
-        for name, born in (("t-1", BORN), ("t-1", BORN - 1000), ("t-0", BORN + 1000)):
-            late = beat(9, born, name)
+        for born in (BORN, BORN - 1000):
+            late = beat(9, born)
             assert not is_replaced(target, now + 4.5 * INTERVAL, late)
         assert target.name == "t-2"
 
+    @pytest.mark.parametrize("name", ["t-0", "t-1"])
+    @pytest.mark.parametrize("age", [12.0, 2.1, -9.0])
+    def test_an_unseen_start_with_a_later_time_changes_nothing(self, name, age):
+        """It started before the last heartbeat of the target, or in the future."""
+        target, now = running(BORN - 5000)
+        for number in range(1, 5):
+            late = beat(number, BORN, name, age=age + number)
+            assert not is_replaced(target, now + number - 0.4, late)
+            goes_on = beat(5 + number, BORN - 5000)
+            assert target.heartbeat(now + number, goes_on) is HeartbeatOrigin.CURRENT
+
+    @pytest.mark.parametrize("age", [0.0, 0.7, 1.6])
+    def test_one_that_may_have_followed_is_taken_at_once(self, age):
+        target, now = running()
+        assert is_replaced(target, now + 0.7, beat(1, BORN + 9000, age=age))
+
+    def test_one_that_seems_to_have_started_before_is_taken_within_seconds(self):
+        """The clock was set back after it had started."""
+        target, now = running()
+        taken = [
+            is_replaced(
+                target, now + number - 0.3, beat(number, BORN + 9000, age=30.0 + number)
+            )
+            for number in range(1, 5)
+        ]
+        assert any(taken)
+
+    @pytest.mark.parametrize("seed", SEEDS[:3])
+    def test_flows_stay_if_an_earlier_start_has_the_later_time(self, seed):
+        sim = PacketSimulation(seed)
+        sim.run(2.0)
+        flows = open_flows(sim, 60, 3.0)
+        agent = next(iter(sim.agents_by_address.values()))
+        late = Heartbeat("t-0", agent.service, 4, False, 0.0, 1, agent.born + 9000, 6.0)
+        agent.core.heartbeat(sim.now, late)
+        sim.run(1.0)
+        assert {flow.state for flow in flows} == {"open"}
+        assert sim.findings() == []
+
     def test_the_next_start_is_taken_within_seconds(self):
         target, now = running()
         for number in range(1, 5):
