Break the import cycle of an agent and its target's lifecycle

Cause: the new module imported the agent for its type, which the test of import cycles counts.

Change: the lifecycle gets the node, the target and two callables. What it does is the same, but a refused heartbeat no longer sends due statuses.

Measured: the tests of the repository, incarnations, endings and foreign writers pass (428).

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -82,7 +82,9 @@
             self, target, self.flows, self.membership, self._pacer, self.queue
         )
         self.membership.openings_waiting = self.openings.waiting
-        self._lifecycle = Lifecycle(self)
+        self._lifecycle = Lifecycle(
+            self, target, self._target_replaced, self._change_service
+        )
         self._make_home()
 
     def start(self, now: float) -> None:
@@ -134,15 +136,33 @@
 
     def heartbeat(self, now: float, heartbeat: Heartbeat) -> bool:
         """Apply a heartbeat; return False if it isn't the target's."""
-        return self._lifecycle.heartbeat(now, heartbeat)
+        is_applied = self._lifecycle.heartbeat(now, heartbeat)
+        if is_applied:
+            self.membership.tick(now)
+        return is_applied
+
+    def _target_replaced(self, now: float) -> None:
+        """End the flows that the former target held."""
+        self.flows.forget_work()
+        ended = self.resets.end_all("target.replaced", self.target.former_until)
+        self.registry.announce_ended(now, ended)
+        self.queue.admit(now)
 
     def note_ended(self, now: float, target: str, born: int | None = None) -> bool:
         """Note that a target reports its end; return whether it is the known one."""
-        return self._lifecycle.note_ended(now, target, born)
+        is_known = self._lifecycle.end(target, born)
+        if is_known:
+            self._hand_over(now)
+        return is_known
 
     def note_vanished(self, now: float) -> None:
         """Note that no process runs any more where the target did."""
-        self._lifecycle.note_vanished(now)
+        self.target.note_vanished()
+        self._hand_over(now)
+
+    def _hand_over(self, now: float) -> None:
+        self.home.hand_over()
+        self.membership.tick(now)
 
     def note_absent(self, now: float) -> None:
         """Note that no target runs on this instance, if none has been seen."""
@@ -210,7 +230,7 @@
         if changes.homes_changed:
             self.registry.register_all()
 
-    def change_service(self) -> None:
+    def _change_service(self) -> None:
         """Switch to the target's service and discard all state of the former one."""
         self.log.event("service.changed", service=self.target.service)
         self.membership.restart()
