Name the folders from which examples' literals are read

Cause: the pattern matched the packages and the platform adapter by chance of their first letter.

Change: both folders by name.

Result: the test of the examples passes.

--- a/conftest.py
+++ b/conftest.py
@@ -28,7 +28,8 @@
 def product_constants() -> Constants:
     """Return the literals of the product's sources, from which examples are drawn."""
     found = Constants()
-    for path in sorted(ROOT.glob("p*/**/src/**/*.py")):
+    sources = [*ROOT.glob("packages/*/src/**/*.py"), *ROOT.glob("platform/src/**/*.py")]
+    for path in sorted(sources):
         found |= _constants_from_source(path.read_bytes(), limit=True)
     return Constants(
         integers=SortedSet(found.integers),
