--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins_2 import TROUBLE, CaseError, Client, Lab, run
+from standins_2 import BOUNDS, TROUBLE, CaseError, Client, Lab, run
 
 FOLDER = Path(__file__).resolve().parent
-ROUTE = ("198.18.0.1", 8443)
+ROUTE = ("127.18.0.1", 8443)
 SERVICE = "ledger-svc"
 EXPORTERS = 5
 LEDGERS = 440
@@ -39,7 +40,8 @@
         outcome = await flow.request(name, size, DEADLINE_SECONDS)
         holders = [e.machine.name for e in lab.endpoints.values() if e.holds(flow.key)]
         lab.record.line("ledger", name=name, outcome=outcome, held_by=holders)
-        if flow.reset_by_system_at is not None and holders:
+        is_young = time.monotonic() - flow.opened_at < BOUNDS["flow_ttl_s"]
+        if flow.reset_by_system_at is not None and holders and is_young:
             lab.record.line(
                 "reset", flow=flow.key, by="system", held_by=holders, volume=volume
             )
