Log packets that don't match the flow known under their key

A lost hint, a lost pointer, a flow that its agent has dropped and a rejected packet all look the same.

The agent now logs "flow.mismatched" with the packet's acknowledged number, the target's initial number and the bytes sent.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -268,9 +268,11 @@
         if flow is not None and flow.matches(packet.acknowledged):
             self._deliver(now, head, packet, flow)
             if head.marks & Mark.SEARCH:
-                self._answer_search(now, sender, flow)
-        else:
-            self._misrouted(now, sender, head, packet)
+                self.registry.answer_search(now, sender, flow)
+            return
+        if flow is not None:
+            self.log.event("flow.mismatched", **flow.mismatch(packet))
+        self._misrouted(now, sender, head, packet)
 
     def _wait_for_trial(self, now: float, head: Head, packet: Packet) -> None:
         """Handle a packet of a flow that is on trial here.
@@ -331,16 +333,6 @@
             flow.entry = head.entry
             self.registry.announce_owner(now, head.entry, [flow.key])
 
-    def _answer_search(self, now: float, asker: str, flow: Flow) -> None:
-        """Report to a searching agent and to the flow's homes that it is owned here.
-
-        The asker may not be one of its homes here. If it weren't notified, it would
-        continue to search, and other targets would receive the packet.
-        """
-        if asker and asker != self.address:
-            self.registry.announce_owner(now, asker, [flow.key])
-        self.registry.register(now, flow, force=True)
-
     def _note_opened(self, now: float, flow: Flow) -> None:
         flow.state = FlowState.OPEN
         flow.opening = b""
@@ -468,21 +460,10 @@
             self.resets.lost(flow, packet)
             self.registry.announce_ended(now, [flow])
         else:
-            self._disown(now, flow)
+            self.trials.denied(now, flow.key)
+            self.registry.disown(now, flow)
         self.queue.admit(now)
 
-    def _disown(self, now: float, flow: Flow) -> None:
-        """Report to the homes that a flow isn't owned here after all.
-
-        If a target hung and kept the packets of a trial, its agent has claimed the
-        flow. Homes would send every further packet here although the flow's owner is
-        alive.
-        """
-        self.log.event("flow.disowned", flow=flow.key, homes=flow.homes)
-        self.trials.denied(now, flow.key)
-        for home in dict.fromkeys((*flow.homes, self.address)):
-            self.registry.deny(now, home, flow.key)
-
     def _found(self, now: float, flow: Flow) -> None:
         self.log.event("flow.found", flow=flow.key, asker=flow.asker)
         # Also if this agent isn't its home: otherwise a search started here would
@@ -490,4 +471,4 @@
         self.home.learn(now, self.address, [flow.key])
         if flow.entry:
             self.registry.announce_owner(now, flow.entry, [flow.key])
-        self._answer_search(now, flow.asker, flow)
+        self.registry.answer_search(now, flow.asker, flow)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
@@ -6,6 +6,9 @@
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Any
+
+from .models import Packet
 
 __all__ = ["Flow", "Flows", "FlowState"]
 
@@ -153,6 +156,21 @@
         )
         return (acknowledged - self.target_isn) % SEQUENCE_SPAN <= window
 
+    def mismatch(self, packet: Packet) -> dict[str, Any]:
+        """Return the log fields of a packet that doesn't belong to this flow.
+
+        Only the numbers show whether another target answered the same opening, the
+        client uses its port again, or the packet is rejected wrongly.
+        """
+        return {
+            "flow": self.key,
+            "packet": packet.kind,
+            "state": self.state.value,
+            "acknowledged": packet.acknowledged,
+            "initial": self.target_isn,
+            "sent": self.bytes_sent,
+        }
+
 
 class Gauge:
     """A count and its fading mean."""
--- a/packages/zinniahook-core/src/zinniahook_core/packets/registry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/registry.py
@@ -56,6 +56,27 @@
             service = self._membership.service
             self._node.send(now, address, Kind.OWNER, body, service=service)
 
+    def answer_search(self, now: float, asker: str, flow: Flow) -> None:
+        """Report to a searching agent and to the flow's homes that it is owned here.
+
+        The asker may not be one of its homes here. If it weren't notified, it would
+        continue to search, and other targets would receive the packet.
+        """
+        if asker and asker != self._node.address:
+            self.announce_owner(now, asker, [flow.key])
+        self.register(now, flow, force=True)
+
+    def disown(self, now: float, flow: Flow) -> None:
+        """Report to the homes that a flow isn't owned here after all.
+
+        If a target hung and kept the packets of a trial, its agent has claimed the
+        flow. Homes would send every further packet here although the flow's owner is
+        alive.
+        """
+        self._node.log.event("flow.disowned", flow=flow.key, homes=flow.homes)
+        for home in dict.fromkeys((*flow.homes, self._node.address)):
+            self.deny(now, home, flow.key)
+
     def register(self, now: float, flow: Flow, force: bool = False) -> None:
         """Notify a flow's homes if they have changed."""
         homes = tuple(self._membership.roster.homes(now, flow.key))
