Judge a flow's packets by numbers that follow its target

Cause: Flow.matches compared what a client acknowledges with the target's initial number and allowed 16 MiB. The initial number never moves, so every packet of a sound client fails once its target has sent that much. The agent then treats its own flow as an unknown one: packets with data are searched for, everybody denies, and the client is reset; bare acknowledgements are dropped.

Fix: the flow keeps the range of numbers that a client may acknowledge. It begins at the target's initial number and follows the target's data: 64 KiB ahead of it, for what is in flight, and at most 64 MiB behind it, for late packets. Volume and wrap-around don't matter any more. 64 MiB is more than a target with 16 packets of 1,200 bytes in flight sends in 7 s over a round trip of 2 ms. A process that is younger than the flow begins with the first data that it sees. That may be an old repeat, so it allows 64 MiB ahead too; with 64 KiB a restart of every agent reset a flow in the model. Data that jumps by more than 16 MiB belongs to a former flow with the same key and moves nothing.

What stays protected: two targets that answered one opening (1 KiB until the client has chosen, as before), and a port that is used again while the former flow is known. Another target's random number matches in proportion to what the flow has sent, at most once in 64 times; it was once in 256 for every flow. A flow of 40 KB now matches once in 41,000 times.

Queueing used the target's last number too, kept only where requests wait. It is kept for every flow now, and the check for repeats works as before.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -414,9 +414,10 @@
             self.home.volumes.add(flow, packet.length)
         if flow.state is FlowState.TRIED:
             self.trials.succeeded(now, flow)
-        self.queue.acknowledged(flow, packet)
         ends = packet.flags & (Flag.RESET | Flag.CLOSING)
-        freed = self._note_answer(now, flow, packet)
+        repeated = not packet.flags & Flag.RESET and flow.note_sent(packet)
+        self.queue.acknowledged(flow, packet)
+        freed = self._note_answer(now, flow, packet, repeated)
         if ends:
             flow.state = FlowState.CLOSED
             flow.client_closed |= bool(packet.flags & Flag.RESET)
@@ -424,19 +425,26 @@
         if freed:
             self.openings.admit(now)
 
-    def _note_answer(self, now: float, flow: Flow, packet: Packet) -> bool:
-        """Note an answer of the target; return whether a request was in progress."""
+    def _note_answer(
+        self, now: float, flow: Flow, packet: Packet, repeated: bool
+    ) -> bool:
+        """Note an answer of the target; return whether a request was in progress.
+
+        The target repeats the end of its last answer until it is acknowledged, and the
+        packet that acknowledges it may be waiting here. Where requests wait, a repeat
+        must not count as the answer to the request that has just been sent.
+        """
         if packet.flags & Flag.RESET:
             return self.requests.aborted(now, flow)
         if not packet.length and not packet.flags & Flag.CLOSING:
             return False
-        if self.queue.note_sent(flow, packet):
+        if repeated and self.queue.is_on:
             return False
         # The end of a short answer may arrive before its data.
         return self.requests.answered(now, flow, packet)
 
     def _accepted(self, now: float, flow: Flow, packet: Packet) -> None:
-        flow.target_isn = packet.sequence
+        flow.accepted(packet.sequence)
         flow.accepted_at = min(flow.accepted_at, now)
         self.openings.answered(flow)
         if flow.entry:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
@@ -9,14 +9,19 @@
 from typing import Any
 
 from .models import Packet
+from .sequences import IN_FLIGHT_BYTES, SEQUENCE_SPAN, is_after
 
 __all__ = ["Flow", "Flows", "FlowState"]
 
-SEQUENCE_SPAN = 1 << 32
-ACKNOWLEDGED_WINDOW_BYTES = 1 << 24
-"""Bytes that a target may have sent in a flow: a client's acknowledgement is at most
-that far after the target's initial number. The random number of another target
-matches by chance once in 256 times."""
+LATE_BYTES = 1 << 26
+"""How far the number that a late packet acknowledges may be behind what the target has
+sent since. The random number of another target matches by chance in proportion to
+what the target has sent, at most once in 64 times, or once in 32 if this process
+hasn't seen the opening."""
+
+MAX_ADVANCE_BYTES = 1 << 24
+"""How far ahead of its last number a target's data may be. Data that is further ahead
+belongs to a former flow with the same key."""
 
 OPENING_WINDOW_BYTES = 1 << 10
 """The same until the client has chosen a target: a target sends nothing before, so the
@@ -92,10 +97,13 @@
         Whether that data is still unanswered.
     working : bool
         Whether the target has received a request that it hasn't answered.
-    received_until, sent_until : int or None
-        Sequence numbers up to which the target has received and sent data.
+    received_until : int or None
+        Sequence number up to which the target has received data.
+    sent_from, sent_until : int or None
+        The target's sequence numbers that a client may acknowledge, None if this
+        process hasn't seen any. Both advance as the target sends.
 
-    The last three are kept only where requests wait for slots.
+    ``working`` and ``received_until`` are kept only where requests wait for slots.
     """
 
     key: bytes
@@ -120,6 +128,7 @@
     awaits_answer: bool = False
     working: bool = False
     received_until: int | None = None
+    sent_from: int | None = None
     sent_until: int | None = None
 
     @property
@@ -147,14 +156,51 @@
         other one, this target would swallow its packets, or return them and seem to
         have lost the flow, which would then be reset.
         """
-        if self.target_isn is None:
-            return self.state is not FlowState.OFFERED
-        window = (
-            OPENING_WINDOW_BYTES
-            if self.state is FlowState.OFFERED
-            else ACKNOWLEDGED_WINDOW_BYTES
-        )
-        return (acknowledged - self.target_isn) % SEQUENCE_SPAN <= window
+        if self.state is FlowState.OFFERED:
+            return self.target_isn is not None and (
+                (acknowledged - self.target_isn) % SEQUENCE_SPAN <= OPENING_WINDOW_BYTES
+            )
+        if self.sent_from is None or self.sent_until is None:
+            return True
+        # A process that hasn't seen the opening may first see the target send a late
+        # repeat, far behind what the client has received.
+        ahead = IN_FLIGHT_BYTES if self.client_isn is not None else LATE_BYTES
+        valid = (self.sent_until + ahead - self.sent_from) % SEQUENCE_SPAN
+        return (acknowledged - self.sent_from) % SEQUENCE_SPAN <= valid
+
+    def accepted(self, number: int) -> None:
+        """Note the target's initial number; a repeat of it changes nothing.
+
+        If this process is younger than the flow, the number doesn't show how much the
+        target has sent since.
+        """
+        if number == self.target_isn:
+            return
+        is_older = self.target_isn is None and self.state is not FlowState.OFFERED
+        self.target_isn = number
+        if not is_older:
+            self.sent_from = number
+            self.sent_until = (number + 1) % SEQUENCE_SPAN
+
+    def note_sent(self, packet: Packet) -> bool:
+        """Note the data that the target sends; return whether it is only a repeat.
+
+        Before its client has chosen it, a target sends no data in a flow.
+        """
+        if not packet.length or self.state is FlowState.OFFERED:
+            return False
+        end = (packet.sequence + packet.length) % SEQUENCE_SPAN
+        if self.sent_from is None or self.sent_until is None:
+            self.sent_from = (end - LATE_BYTES) % SEQUENCE_SPAN
+            self.sent_until = end
+            return False
+        if not is_after(end, self.sent_until):
+            return True
+        if (end - self.sent_until) % SEQUENCE_SPAN <= MAX_ADVANCE_BYTES:
+            self.sent_until = end
+            if (end - self.sent_from) % SEQUENCE_SPAN > LATE_BYTES:
+                self.sent_from = (end - LATE_BYTES) % SEQUENCE_SPAN
+        return False
 
     def mismatch(self, packet: Packet) -> dict[str, Any]:
         """Return the log fields of a packet that doesn't belong to this flow.
@@ -168,7 +214,8 @@
             "state": self.state.value,
             "acknowledged": packet.acknowledged,
             "initial": self.target_isn,
-            "sent": self.bytes_sent,
+            "sent_from": self.sent_from,
+            "sent_until": self.sent_until,
         }
 
 
@@ -273,13 +320,13 @@
             self._done(flow)
 
     def forget_numbers(self) -> None:
-        """Clear the sequence numbers, which weren't tracked for a while.
+        """Clear what clients have sent, which wasn't tracked for a while.
 
         Otherwise a request would seem to lack its first packet and would wait for a
         client that has nothing to repeat.
         """
         for flow in self.by_key.values():
-            flow.received_until = flow.sent_until = None
+            flow.received_until = None
 
     def _done(self, flow: Flow) -> None:
         if flow.working:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/questions.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/questions.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from .flows import ACKNOWLEDGED_WINDOW_BYTES, SEQUENCE_SPAN
 from .models import Packet
+from .sequences import is_near
 from .tunnel import Mark
 
 __all__ = ["Question", "Questions"]
@@ -42,6 +42,9 @@
 ANSWERS_EXPIRY_SECONDS = 4.0
 """Seconds for which answers count: as long as agents remember their denials."""
 
+SAME_FLOW_BYTES = 1 << 24
+"""Distance of acknowledged numbers within which the answers count for a packet."""
+
 QUESTIONS_LIMIT = 65536
 
 
@@ -167,5 +170,4 @@
 
 def _is_same_flow(answers: _Answers, packet: Packet) -> bool:
     """Return whether a packet isn't of a later flow from the same port."""
-    ahead = (packet.acknowledged - answers.acknowledged) % SEQUENCE_SPAN
-    return min(ahead, SEQUENCE_SPAN - ahead) <= ACKNOWLEDGED_WINDOW_BYTES
+    return is_near(packet.acknowledged, answers.acknowledged, SAME_FLOW_BYTES)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/queueing.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/queueing.py
@@ -13,12 +13,13 @@
 from dataclasses import dataclass, field
 
 from .backlog import EXTRA_OPENINGS, MAX_WAIT_SECONDS
-from .flows import SEQUENCE_SPAN, Flow, Flows, FlowState
+from .flows import Flow, Flows, FlowState
 from .membership import Membership
 from .models import Flag, Packet, Routes, State, Urgency, route_key
 from .node import Node
 from .requests import Requests
 from .scheduling import Scheduler, rank
+from .sequences import HALF_SEQUENCE_SPAN, SEQUENCE_SPAN, is_after
 from .target import Target
 
 __all__ = ["HeldRequest", "RequestQueue"]
@@ -47,8 +48,6 @@
 """Share of the idle timeout after which a flow's request doesn't wait. Otherwise the
 target would close the flow as idle while its request waits here."""
 
-HALF_SEQUENCE_SPAN = SEQUENCE_SPAN // 2
-
 
 @dataclass(slots=True)
 class HeldRequest:
@@ -210,7 +209,7 @@
             or not packet.length
         ):
             return False
-        return not _is_after(packet.sequence + packet.length, flow.received_until)
+        return not is_after(packet.sequence + packet.length, flow.received_until)
 
     def _hold(self, now: float, flow: Flow, packet: Packet) -> None:
         route = self._node.routes.by_address.get(route_key(flow.key))
@@ -264,27 +263,12 @@
             if self._is_enabled:
                 self._flows.began(flow)
                 end = (packet.sequence + packet.length) % SEQUENCE_SPAN
-                if flow.received_until is None or _is_after(end, flow.received_until):
+                if flow.received_until is None or is_after(end, flow.received_until):
                     flow.received_until = end
         self._node.links.to_target(packet.raw)
 
     # Packets of the target
 
-    def note_sent(self, flow: Flow, packet: Packet) -> bool:
-        """Note how far the target has sent; return whether this is only a repeat.
-
-        The target repeats the end of its last answer until it is acknowledged, and the
-        packet that acknowledges it may be waiting here. Without this check, the repeat
-        would count as the answer to the request that has just been sent.
-        """
-        if not self.is_on or not packet.length:
-            return False
-        end = (packet.sequence + packet.length) % SEQUENCE_SPAN
-        if flow.sent_until is not None and not _is_after(end, flow.sent_until):
-            return True
-        flow.sent_until = end
-        return False
-
     def acknowledged(self, flow: Flow, packet: Packet) -> None:
         """Note what the target acknowledges; drop a waiting request it already has.
 
@@ -294,7 +278,7 @@
         """
         if not packet.length or not packet.flags & Flag.ACKNOWLEDGES:
             return
-        if flow.received_until is None or _is_after(
+        if flow.received_until is None or is_after(
             packet.acknowledged, flow.received_until
         ):
             flow.received_until = packet.acknowledged
@@ -302,7 +286,7 @@
         if held is None:
             return
         last = held.in_order()[-1]
-        if not _is_after(last.sequence + last.length, packet.acknowledged):
+        if not is_after(last.sequence + last.length, packet.acknowledged):
             self._forget(held)
 
     def ended(self, now: float, flow: Flow) -> None:
@@ -363,7 +347,3 @@
     def _forget(self, held: HeldRequest) -> None:
         if self._by_flow.get(held.flow.key) is held:
             del self._by_flow[held.flow.key]
-
-
-def _is_after(number: int, other: int) -> bool:
-    return 0 < (number - other) % SEQUENCE_SPAN < HALF_SEQUENCE_SPAN
--- a/packages/zinniahook-core/src/zinniahook_core/packets/verdicts.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/verdicts.py
@@ -10,9 +10,9 @@
 
 from dataclasses import dataclass
 
-from .flows import SEQUENCE_SPAN
 from .formers import FLOW_MAX_AGE_SECONDS
 from .models import Packet
+from .sequences import IN_FLIGHT_BYTES, is_near
 
 __all__ = ["PERMANENT_EPOCH", "SearchVerdict", "Verdicts"]
 
@@ -23,10 +23,10 @@
 """Epoch of a verdict that stays valid whatever agents join: the flow has ended at its
 own target."""
 
-SAME_FLOW_BYTES = 1 << 16
+SAME_FLOW_BYTES = IN_FLIGHT_BYTES
 """Distance from the acknowledged number within which a packet belongs to the same flow:
-more than a target has in flight. With a larger one, packets of a new flow that the
-client opens from the same port would be considered those of the former flow."""
+a flow without an owner gets no further. With a larger one, packets of a new flow that
+the client opens from the same port would be considered those of the former flow."""
 
 
 @dataclass(slots=True)
@@ -75,9 +75,8 @@
         verdict = self._by_flow.get(packet.flow)
         if verdict is None or now >= verdict.until:
             return None
-        ahead = (packet.acknowledged - verdict.acknowledged) % SEQUENCE_SPAN
-        near = min(ahead, SEQUENCE_SPAN - ahead) <= SAME_FLOW_BYTES
-        return verdict if near else None
+        is_same = is_near(packet.acknowledged, verdict.acknowledged, SAME_FLOW_BYTES)
+        return verdict if is_same else None
 
     def keep(
         self,
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/packetendpoints.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packetendpoints.py
@@ -26,6 +26,9 @@
 MAX_RETRY_SECONDS = 1.6
 REQUEST = b"GET / HTTP/1.1\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\n\r\n"
+REPEAT_LIMIT = 8
+"""Times that a target repeats unacknowledged data before it gives up."""
+
 FAILURE_SECONDS = 0.001
 FAILURE = b"HTTP/1.1 500 NO\r\n\r\n"
 
@@ -123,6 +126,8 @@
     sent: int = 1
     taken: int = 0
     done_at: float = 0.0
+    packets_left: int = 0
+    acknowledged: int = 0
 
 
 class SimulatedTarget:
@@ -164,6 +169,11 @@
         self.ends_first = False
         """Closes each flow after an answer; the closing overtakes the answer."""
 
+        self.answer_packets = 1
+        """Packets of each answer; the next one is sent once the last is acknowledged.
+        With more than one, data is repeated until it is acknowledged."""
+
+        self.packet_bytes = len(ANSWER)
         self.work = 0.06
         self._free_at = [0.0] * slots
         self.ran: list[bytes] = []
@@ -188,6 +198,7 @@
             if self.resets_unknown:
                 return [(0.0, self._codec.reset(packet.flow, packet.acknowledged))]
             return [(0.0, self._codec.returned(raw))]
+        held.acknowledged = packet.acknowledged
         return self._receive_data(now, packet, held)
 
     def _receive_opening(self, now: float, packet: Packet) -> list[tuple[float, bytes]]:
@@ -212,32 +223,70 @@
         self, now: float, packet: Packet, held: _TargetFlow
     ) -> list[tuple[float, bytes]]:
         if not packet.length:
-            return []
+            return self._continue_answer(packet, held)
         number = (packet.sequence - held.client_first) % SEQUENCE_RANGE
         again = number <= held.taken
         if not again:
             held.taken = number
             self.ran.append(packet.flow)
-        start = held.first + held.sent - (len(ANSWER) if again else 0)
+        start = held.first + held.sent - (self.packet_bytes if again else 0)
         if not again:
-            held.sent += len(ANSWER)
-        answer = self._codec.write(
-            packet.flow,
-            Flag.ACKNOWLEDGES,
-            start,
-            packet.sequence + packet.length,
-            FAILURE if self.fails else ANSWER,
-            to_client=True,
-        )
+            held.sent += self.packet_bytes
+            held.packets_left = self.answer_packets - 1
+        acknowledged = packet.sequence + packet.length
+        body = FAILURE if self.fails else ANSWER
+        body = body.ljust(self.packet_bytes, b"x")
+        answer = self._write_data(packet.flow, start, acknowledged, body)
         if again:
             # Repeating a request doesn't complete it sooner.
             return [(0.001, answer)] if now >= held.done_at else []
         held.done_at = self._completion_time(now)
         took = held.done_at - now
+        if self.answer_packets > 1:
+            return self._repeating(took, answer)
         # Acknowledgements aren't tracked, so each answer is repeated once.
         sent = [(took, answer), (took + RETRY_SECONDS, answer)]
         return [(took, self._closing(packet, held)), *sent] if self.ends_first else sent
 
+    def _continue_answer(
+        self, packet: Packet, held: _TargetFlow
+    ) -> list[tuple[float, bytes]]:
+        """Return the next packet of an answer whose last one is acknowledged."""
+        start = held.first + held.sent
+        if not held.packets_left or packet.acknowledged != start % SEQUENCE_RANGE:
+            return []
+        held.packets_left -= 1
+        held.sent += self.packet_bytes
+        body = b"x" * self.packet_bytes
+        data = self._write_data(packet.flow, start, packet.sequence, body)
+        return self._repeating(0.0, data)
+
+    def _write_data(
+        self, flow: bytes, start: int, acknowledged: int, body: bytes
+    ) -> bytes:
+        flags = Flag.ACKNOWLEDGES
+        return self._codec.write(flow, flags, start, acknowledged, body, to_client=True)
+
+    def _repeating(self, delay: float, data: bytes) -> list[tuple[float, bytes]]:
+        """Return a packet and its repeats, which `is_acknowledged` may withdraw."""
+        sent, interval = [(delay, data)], RETRY_SECONDS
+        for _ in range(REPEAT_LIMIT):
+            delay += interval
+            interval = min(MAX_RETRY_SECONDS, 2 * interval)
+            sent.append((delay, data))
+        return sent
+
+    def is_acknowledged(self, raw: bytes) -> bool:
+        """Return whether a packet to be sent repeats data that is acknowledged."""
+        packet = self._codec.from_target(raw)
+        if self.answer_packets == 1 or packet is None or not packet.length:
+            return False
+        if packet.flags & Flag.RETURNED:
+            return False
+        held = self.by_flow[packet.flow]
+        ahead = (held.acknowledged - packet.sequence) % SEQUENCE_RANGE
+        return 0 < ahead < SEQUENCE_RANGE // 2
+
     def _closing(self, packet: Packet, held: _TargetFlow) -> bytes:
         """Return the closing packet that follows the answer."""
         return self._codec.write(
@@ -278,6 +327,8 @@
     asked_at: float | None = None
     repeats: int = 0
     answers: list[float] = field(default_factory=list)
+    answer_packets: int = 1
+    packets_taken: int = 0
     codec: EndpointCodec = field(default_factory=PlainCodec)
 
     def open(self, now: float) -> bytes:
@@ -332,12 +383,24 @@
         expected = (self.server_first + 1 + self.taken) % SEQUENCE_RANGE
         if self.state == "open" and packet.length and packet.sequence == expected:
             self.taken += packet.length
-            self.sent += len(REQUEST)
+            self.packets_taken += 1
+            if self.packets_taken % self.answer_packets:
+                return [self._continue_reading()]
+            if self.answer_packets == 1:
+                self.sent += len(REQUEST)
             if self.asked_at is not None:
                 self.answers.append(now - self.asked_at)
             self.asked_at = None
         return [self._acknowledgement()] if self.state == "open" else []
 
+    def _continue_reading(self) -> bytes:
+        """Return the acknowledgement of a packet that isn't the answer's last one."""
+        if self.packets_taken % self.answer_packets == 1:
+            # The target has the request, so it isn't repeated.
+            self.sent += len(REQUEST)
+            self.due = 0.0
+        return self._acknowledgement()
+
     def _acknowledgement(self) -> bytes:
         return self.codec.write(
             self.key,
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/packetsimulation.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packetsimulation.py
@@ -327,7 +327,7 @@
             self.at(delay, lambda raw=answer: self._from_target(agent, target, raw))
 
     def _from_target(self, agent: SimulatedAgent, target: SimulatedTarget, raw: bytes):
-        if target.alive and agent.core is not None:
+        if target.alive and agent.core is not None and not target.is_acknowledged(raw):
             agent.core.from_target(self.now, raw)
 
     def send_client(self, sender: str, flow: bytes, raw: bytes) -> None:
--- /dev/null
+++ b/packages/zinniahook-testkit/tests/test_packet_large_flows.py
@@ -0,0 +1,115 @@
+"""Simulations of flows that carry much more than one answer."""
+
+import pytest
+from packet_helpers import SEEDS, count_new_answers, open_flows
+from zinniahook_core.packets import Packet
+from zinniahook_core.packets.flows import Flow, FlowState
+from zinniahook_testkit.packetsimulation import PacketSimulation
+
+PACKET_BYTES = 60_000
+LARGE_PACKETS = 300
+"""Packets that carry 18 MB, more than 16 MiB."""
+
+
+def make_simulation(seed, answer_packets=1, **options):
+    """Return a simulation whose targets send large packets."""
+    sim = PacketSimulation(seed, **options)
+    for agent in sim.agents_by_address.values():
+        agent.target.answer_packets = answer_packets
+        agent.target.packet_bytes = PACKET_BYTES
+        agent.target.work = 0.001
+    return sim
+
+
+def open_large_flows(sim, count=4):
+    """Open flows that have carried 18 MB in answers of one packet each."""
+    flows = open_flows(sim, count)
+    for _ in range(LARGE_PACKETS):
+        assert count_new_answers(sim, flows, 0.02) == [1] * count
+    return flows
+
+
+def start_downloads(sim, count=4):
+    """Open flows whose first answers have begun."""
+    flows = [sim.open_flow() for _ in range(count)]
+    for flow in flows:
+        flow.answer_packets = LARGE_PACKETS
+    sim.run(0.1)
+    assert all(0 < flow.packets_taken < LARGE_PACKETS for flow in flows)
+    return flows
+
+
+class TestLargeFlows:
+    """Flows that have carried 16 MiB are reset, and downloads of that size stop.
+
+    Each of the client's packets acknowledges all that its target has sent. Compared
+    with the target's initial number alone, it seems to belong to another target.
+    """
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_requests_are_answered(self, seed):
+        sim = make_simulation(seed)
+        flows = open_large_flows(sim)
+        assert count_new_answers(sim, flows) == [1] * len(flows)
+        assert sim.resets == []
+        assert sim.log.counts["flow.mismatched"] == 0
+        assert sim.findings() == []
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_downloads_are_completed(self, seed):
+        sim = make_simulation(seed, LARGE_PACKETS)
+        flows = start_downloads(sim)
+        sim.run(10.0)
+        assert [len(flow.answers) for flow in flows] == [1] * len(flows)
+        assert sim.log.counts["flow.mismatched"] == 0
+        assert sim.findings() == []
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_survive_restarts_of_every_daemon(self, seed):
+        sim = make_simulation(seed)
+        flows = open_large_flows(sim, 2)
+        sim.loss = 0.02
+        for agent in sim.agents_by_address.values():
+            sim.start_agent(agent)
+        for address in sim.entries_by_address:
+            sim.start_entry(address)
+        for _ in range(5):
+            assert count_new_answers(sim, flows, 4.0) == [1] * len(flows)
+        assert sim.resets == []
+        assert sim.findings() == []
+
+
+class TestReusedPorts:
+    """A client's flow is reset just after it opened, while its target lives.
+
+    The client had left a flow without closing it, and uses its port again. The new
+    flow opens at another target, but a hint leads its packets to the former owner.
+    The former target returns them, and its agent resets the flow as lost.
+    """
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("megabytes", [1, 64])
+    @pytest.mark.parametrize("distance", [-(1 << 20), 1 << 20, 1 << 31])
+    def test_belong_to_their_new_owners(self, seed, megabytes, distance):
+        """The new initial number is below the former flow's numbers, or above them."""
+        sim = make_simulation(seed)
+        (flow,) = open_flows(sim, 1)
+        other = next(
+            agent
+            for agent in sim.agents_by_address.values()
+            if flow.key not in agent.target.by_flow
+        )
+        size = megabytes << 20
+        first = flow.server_first - distance - (size if distance > 0 else 0)
+        former = Flow(flow.key, FlowState.OFFERED, sim.now, "", client_isn=flow.first)
+        former.accepted(first % (1 << 32))
+        former.state = FlowState.OPEN
+        for sent in range(1 << 20, size + 1, 1 << 20):
+            sequence = (first + sent) % (1 << 32)
+            former.note_sent(Packet(flow.key, 0, sequence, 0, 1, b""))
+        other.core.flows.add(former)
+        for entry in sim.entries_by_address.values():
+            entry.hints_by_flow[flow.key] = other.address
+        assert count_new_answers(sim, [flow]) == [1]
+        assert sim.resets == []
+        assert sim.foreign == []
