Reset flows with the highest number that their client acknowledged

What callers would see: the target of a large flow is gone, and its client waits until it times out, because it ignores its agent's reset.

Cause: a reset carries the client's last acknowledged number, and a client ignores one that is more than 76,800 away. The agent overwrote the number with that of every packet, also of a late one from long before.

Fix: the number only advances. As it is compared now, a flow that a target reveals to a restarted agent begins with the target's number instead of 0.

The model's clients now ignore resets as the users' clients do.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -324,7 +324,7 @@
     def _deliver(self, now: float, head: Head, packet: Packet, flow: Flow) -> None:
         self.queue.deliver(now, flow, packet)
         flow.last_seen = now
-        flow.acknowledged = packet.acknowledged
+        flow.note_acknowledged(packet.acknowledged)
         if packet.flags & Flag.CLOSING:
             flow.client_closed = True
         if flow.state is FlowState.OFFERED:
@@ -404,6 +404,7 @@
         if flow is None:
             # This process is younger than the flow, or has abandoned its opening.
             flow = Flow(packet.flow, initial_state(packet), now, "", accepted_at=now)
+            flow.acknowledged = packet.sequence
             self.flows.add(flow)
             self.registry.register(now, flow)
         flow.last_seen = now
--- a/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
@@ -77,6 +77,8 @@
         Initial sequence numbers of the client and of the target, None if not seen.
     requested_at : float or None
         When the request in progress began, None if none is.
+    acknowledged : int
+        The highest number that the client has acknowledged, as far as is known.
     homes : tuple of str
         The agents that keep a pointer to this flow's owner.
     zone : int
@@ -180,7 +182,16 @@
         self.target_isn = number
         if not is_older:
             self.sent_from = number
-            self.sent_until = (number + 1) % SEQUENCE_SPAN
+            self.sent_until = self.acknowledged = (number + 1) % SEQUENCE_SPAN
+
+    def note_acknowledged(self, number: int) -> None:
+        """Note what the client acknowledges.
+
+        A late packet changes nothing: clients ignore a reset whose number is far behind
+        what they have acknowledged.
+        """
+        if is_after(number, self.acknowledged):
+            self.acknowledged = number
 
     def note_sent(self, packet: Packet) -> bool:
         """Note the data that the target sends; return whether it is only a repeat.
--- a/packages/zinniahook-testkit/src/zinniahook_testkit/packetendpoints.py
+++ b/packages/zinniahook-testkit/src/zinniahook_testkit/packetendpoints.py
@@ -26,6 +26,9 @@
 MAX_RETRY_SECONDS = 1.6
 REQUEST = b"GET / HTTP/1.1\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\n\r\n"
+RESET_WINDOW_BYTES = 76_800
+"""Distance from its last acknowledged number within which a client accepts a reset."""
+
 REPEAT_LIMIT = 8
 """Times that a target repeats unacknowledged data before it gives up."""
 
@@ -370,7 +373,7 @@
         if packet is None:
             raise AssertionError("a client received a packet that no target wrote")
         if packet.flags & Flag.RESET:
-            if self.state in ("opening", "open"):
+            if self._accepts_reset(packet.sequence):
                 self.state = "reset"
             return []
         if packet.flags & Flag.OPENING:
@@ -393,6 +396,13 @@
             self.asked_at = None
         return [self._acknowledgement()] if self.state == "open" else []
 
+    def _accepts_reset(self, number: int) -> bool:
+        """Return whether a reset ends the flow: late ones and forged ones don't."""
+        if self.state != "open":
+            return self.state == "opening"
+        ahead = (number - self.server_first - 1 - self.taken) % SEQUENCE_RANGE
+        return min(ahead, SEQUENCE_RANGE - ahead) <= RESET_WINDOW_BYTES
+
     def _continue_reading(self) -> bytes:
         """Return the acknowledgement of a packet that isn't the answer's last one."""
         if self.packets_taken % self.answer_packets == 1:
--- a/packages/zinniahook-testkit/tests/test_packet_large_flows.py
+++ b/packages/zinniahook-testkit/tests/test_packet_large_flows.py
@@ -113,3 +113,53 @@
         assert count_new_answers(sim, [flow]) == [1]
         assert sim.resets == []
         assert sim.foreign == []
+
+
+class TestResetsOfLargeFlows:
+    """A client waits until it times out although its target is gone.
+
+    Its agent resets the flow with a number that the client had acknowledged long
+    before, and the client ignores the reset.
+    """
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_reach_the_client_after_a_late_packet(self, seed):
+        sim = make_simulation(seed)
+        flow, *others = open_flows(sim, 40)
+        late = flow.ask(sim.now)
+        flow.asked_at = None
+        for _ in range(10):
+            assert count_new_answers(sim, [flow], 0.05) == [1]
+        owner = next(
+            agent
+            for agent in sim.agents_by_address.values()
+            if flow.key in agent.target.by_flow
+        )
+        owner.target.alive = False
+        sim.from_client(late)
+        for other in others:
+            sim.ask(other)
+        sim.run(2.0)
+        assert flow.state == "reset"
+
+    def test_reach_the_client_of_a_flow_that_its_target_revealed(self):
+        """Its agent was restarted while the target worked on a request."""
+        for seed in range(12):
+            sim = make_simulation(seed)
+            flow, *others = flows = open_flows(sim, 20)
+            owner = next(
+                agent
+                for agent in sim.agents_by_address.values()
+                if flow.key in agent.target.by_flow
+            )
+            owner.target.work = 0.15
+            for each in flows:
+                sim.ask(each)
+            sim.run(0.05)
+            sim.start_agent(owner)
+            sim.run(3.0)
+            owner.target.alive = False
+            for other in others:
+                sim.ask(other)
+            sim.run(2.0)
+            assert flow.state == "reset", f"seed {seed}"
