Notify a flow's homes again when its target repeats data

What callers would see: a download stops for good, with no reset, after the entry that it goes through has been replaced.

Cause: owners notify the homes of a flow once, and homes keep 65,536 pointers and drop the oldest first, so a flow outgrows its pointer; a lost datagram does the same. The client of a download sends bare acknowledgements only, which nobody searches with. Packet.is_bare says that the owner becomes known as its target repeats the data, but that held only for an agent that didn't know the flow.

Fix: the agent notifies the homes again when the target repeats data, at most each 0.15 s for a flow, as a target repeats at 0.2 s first. A search with the acknowledgement was the alternative: if the owner is missing, only other targets get the packet, and the flow counts as misrouted.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
@@ -81,6 +81,8 @@
         The highest number that the client has acknowledged, as far as is known.
     homes : tuple of str
         The agents that keep a pointer to this flow's owner.
+    registered_at : float
+        When they were last notified of it.
     zone : int
         Tag of the client's data centre.
     bytes_sent : int
@@ -119,6 +121,7 @@
     acknowledged: int = 0
     requested_at: float | None = None
     homes: tuple[str, ...] = ()
+    registered_at: float = float("-inf")
     request: str = ""
     zone: int = 0
     bytes_sent: int = 0
--- a/packages/zinniahook-core/src/zinniahook_core/packets/registry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/registry.py
@@ -17,6 +17,10 @@
 
 ENDED_PER_DATAGRAM = 70
 
+REGISTRATION_INTERVAL_SECONDS = 0.15
+"""Seconds until the homes of a flow are notified again: less than the 0.2 s after which
+a target first repeats what isn't acknowledged."""
+
 REGISTERED_PER_TICK = 200
 """Flows checked for new homes in a tick, 4,000 a second. An agent has 3,200 at the
 design size. A tick must stay far below the time-outs of other daemons."""
@@ -83,9 +87,21 @@
         if homes == flow.homes and not force:
             return
         flow.homes = homes
+        flow.registered_at = now
         for home in homes:
             self._notify_home(now, home, [flow.key])
 
+    def register_again(self, now: float, flow: Flow) -> None:
+        """Notify a flow's homes again, as its target repeats data.
+
+        The homes may have dropped their pointers, the oldest first, or may have missed
+        the only notification. A packet that only acknowledges isn't searched for, so
+        the client of a download could never reach the target again.
+        """
+        due = now - flow.registered_at >= REGISTRATION_INTERVAL_SECONDS
+        if due and flow.is_awaited:
+            self.register(now, flow, force=True)
+
     def register_all(self) -> None:
         """Check every flow again, some in each tick, as homes may have changed."""
         self._pending = list(self._flows.by_key)
--- a/packages/zinniahook-testkit/tests/test_packet_large_flows.py
+++ b/packages/zinniahook-testkit/tests/test_packet_large_flows.py
@@ -4,6 +4,7 @@
 from packet_helpers import SEEDS, count_new_answers, open_flows
 from zinniahook_core.packets import Packet
 from zinniahook_core.packets.flows import Flow, FlowState
+from zinniahook_core.packets.homes import POINTERS_LIMIT
 from zinniahook_testkit.packetsimulation import PacketSimulation
 
 PACKET_BYTES = 60_000
@@ -29,13 +30,13 @@
     return flows
 
 
-def start_downloads(sim, count=4):
+def start_downloads(sim, count=4, packets=LARGE_PACKETS):
     """Open flows whose first answers have begun."""
     flows = [sim.open_flow() for _ in range(count)]
     for flow in flows:
-        flow.answer_packets = LARGE_PACKETS
+        flow.answer_packets = packets
     sim.run(0.1)
-    assert all(0 < flow.packets_taken < LARGE_PACKETS for flow in flows)
+    assert all(0 < flow.packets_taken < packets for flow in flows)
     return flows
 
 
@@ -79,6 +80,34 @@
         assert sim.findings() == []
 
 
+class TestForgottenOwners:
+    """A download stops for good although its client and its target live.
+
+    Homes keep a limited number of pointers and drop the oldest first. An entry that
+    has just started asks them, and nobody searches with an acknowledgement.
+    """
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("weights", [{"tally": 1.0}, {"tally": 1.0, "ledger": 1.0}])
+    def test_are_reported_again(self, seed, weights):
+        services = {"tally": 4, "ledger": 4}
+        sim = make_simulation(seed, 2000, services=services)
+        sim.set_shares(1, weights)
+        sim.run(1.0)
+        flows = start_downloads(sim, 4, 2000)
+        # Homes also remember for a few seconds where they placed a flow.
+        sim.run(6.0)
+        newer = [f"newer-{number}".encode() for number in range(POINTERS_LIMIT)]
+        for agent in sim.agents_by_address.values():
+            agent.core.home.learn(sim.now, "10.9.9.9", newer)
+        for address in sim.entries_by_address:
+            sim.start_entry(address)
+        assert not any(flow.answers for flow in flows)
+        sim.run(20.0)
+        assert [len(flow.answers) for flow in flows] == [1] * len(flows)
+        assert sim.findings() == []
+
+
 class TestReusedPorts:
     """A client's flow is reset just after it opened, while its target lives.
 
