Report flows to new homes in turn while homes keep changing

What callers would see: after a series of restarts, the flows that were opened first are searched for, and downloads among them stop.

Cause: an agent reports 200 flows a tick to new homes, the last opened first, and began again with all of them at each change of the homes. With more flows than it reports between two changes, the first ones are never reached: at the designed 3,200 flows, if homes change each 0.8 s.

Fix: flows that are still to be reported come before those that were.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/registry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/registry.py
@@ -103,8 +103,14 @@
             self.register(now, flow, force=True)
 
     def register_all(self) -> None:
-        """Check every flow again, some in each tick, as homes may have changed."""
-        self._pending = list(self._flows.by_key)
+        """Check every flow again, some in each tick, as homes may have changed.
+
+        Flows that are still to be checked come first. Otherwise, while homes change
+        again and again, the flows opened first would never be reported.
+        """
+        waiting = dict.fromkeys(self._pending)
+        checked = [key for key in self._flows.by_key if key not in waiting]
+        self._pending = [*checked, *waiting]
 
     def peer_restarted(self, address: str) -> None:
         """Notify a restarted peer of every flow that it is a home of."""
--- a/packages/zinniahook-testkit/tests/test_packet_large_flows.py
+++ b/packages/zinniahook-testkit/tests/test_packet_large_flows.py
@@ -5,6 +5,7 @@
 from zinniahook_core.packets import Packet
 from zinniahook_core.packets.flows import Flow, FlowState
 from zinniahook_core.packets.homes import POINTERS_LIMIT
+from zinniahook_core.packets.registry import REGISTERED_PER_TICK
 from zinniahook_testkit.packetsimulation import PacketSimulation
 
 PACKET_BYTES = 60_000
@@ -108,6 +109,27 @@
         assert sim.findings() == []
 
 
+class TestManyFlows:
+    """The flows that were opened first are reset after a series of restarts.
+
+    An agent reports its flows to new homes, some at a time, and begins again whenever
+    homes change. The first flows are never reached.
+    """
+
+    def test_are_all_reported_while_homes_keep_changing(self):
+        sim = PacketSimulation(1)
+        agent = next(iter(sim.agents_by_address.values())).core
+        keys = [
+            number.to_bytes(12, "big") for number in range(10 * REGISTERED_PER_TICK)
+        ]
+        for key in keys:
+            agent.flows.add(Flow(key, FlowState.OPEN, sim.now, ""))
+        for _ in range(12):
+            agent.registry.register_all()
+            agent.registry.tick(sim.now)
+        assert all(agent.flows.get(key).homes for key in keys)
+
+
 class TestReusedPorts:
     """A client's flow is reset just after it opened, while its target lives.
 
