Notify homes again only of data whose acknowledgement is missing

A repeat of data that the client has acknowledged shows no lost owner: it is late, or the model's, whose targets repeat each short answer once. Now an agent compares the repeat with the highest number that has passed it from the client.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/agent.py
@@ -417,7 +417,7 @@
             self.trials.succeeded(now, flow)
         ends = packet.flags & (Flag.RESET | Flag.CLOSING)
         repeated = not packet.flags & Flag.RESET and flow.note_sent(packet)
-        if repeated:
+        if repeated and flow.is_unacknowledged(packet):
             self.registry.register_again(now, flow)
         self.queue.acknowledged(flow, packet)
         freed = self._note_answer(now, flow, packet, repeated)
--- a/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/flows.py
@@ -216,6 +216,11 @@
                 self.sent_from = (end - LATE_BYTES) % SEQUENCE_SPAN
         return False
 
+    def is_unacknowledged(self, packet: Packet) -> bool:
+        """Return whether the client, as far as is known, lacks a packet."""
+        end = (packet.sequence + packet.length) % SEQUENCE_SPAN
+        return is_after(end, self.acknowledged)
+
     def mismatch(self, packet: Packet) -> dict[str, Any]:
         """Return the log fields of a packet that doesn't belong to this flow.
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/registry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/registry.py
@@ -92,7 +92,7 @@
             self._notify_home(now, home, [flow.key])
 
     def register_again(self, now: float, flow: Flow) -> None:
-        """Notify a flow's homes again, as its target repeats data.
+        """Notify a flow's homes again, as its target repeats unacknowledged data.
 
         The homes may have dropped their pointers, the oldest first, or may have missed
         the only notification. A packet that only acknowledges isn't searched for, so
