Probe members that were forgotten after a long silence

Cause: a daemon drops a member after 60 s of silence and sends it nothing more; both sides of a cut do so, and after the cut nobody sends the first datagram. The list in the store is read at the start only.

Fix: a member that is dropped for its silence is kept as lost for an hour and probed each 4 s, at most ten probes a second together (0.7 KB/s). It is no candidate of a flow meanwhile. Reading the store's list again would cover it too, but the list's size at a service of 1,000 agents allows that only each few minutes at 8 KB/s, and keys of agents that are gone would be added as members again and again.

--- a/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/entry.py
@@ -166,7 +166,7 @@
         changes = roster.refresh(now)
         if changes.arrived or changes.departed:
             self.log.event("roster", service=roster.service, **changes.log_fields())
-        for address in roster.probes_due(now):
+        for address in [*roster.probes_due(now), *roster.lost.due(now)]:
             self.hello(now, address)
 
     def _roster(self, service: str) -> Roster:
@@ -424,8 +424,11 @@
         the former service are still sent there.
         """
         for roster in self.rosters_by_service.values():
-            if tag(roster.service) != keep and address in roster.by_address:
-                roster.drop(address)
+            if tag(roster.service) == keep:
+                continue
+            is_member = address in roster.by_address
+            roster.drop(address)
+            if is_member:
                 self.log.event("member.moved", service=roster.service, agent=address)
 
     def _learn_members(self, now: float, body: bytes) -> None:
--- a/packages/zinniahook-core/src/zinniahook_core/packets/member.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/member.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from .models import State
 from .reports import HealthReport, decode_cold, decode_health
 from .sections import Section
 from .tunnel import Status
 
-__all__ = ["REPORTED_STATES", "Member", "RosterRow"]
+__all__ = ["LOGGED_NAMES", "REPORTED_STATES", "Changes", "Member", "RosterRow"]
 
 NO_TARGET_STATES = frozenset((State.STARTING, State.ENDED))
 """States of an agent that knows of no target."""
@@ -32,6 +32,29 @@
 """
 
 
+LOGGED_NAMES = 8
+"""Names of agents in one log line. A full list would fill the log."""
+
+
+class Changes(NamedTuple):
+    """Members that have appeared or disappeared since the last review.
+
+    ``homes_changed`` is whether the homes of any flow may have changed.
+    """
+
+    arrived: list[str]
+    departed: list[str]
+    homes_changed: bool
+
+    def log_fields(self) -> dict[str, Any]:
+        """Return the fields of a log line: some names, and the number of the others."""
+        return {
+            "come": self.arrived[:LOGGED_NAMES],
+            "gone": self.departed[:LOGGED_NAMES],
+            "more": max(0, len(self.arrived) + len(self.departed) - 2 * LOGGED_NAMES),
+        }
+
+
 class RosterRow(NamedTuple):
     """An agent as listed in a roster.
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/members.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/members.py
@@ -10,11 +10,11 @@
 
 import math
 from collections.abc import Iterable
-from typing import Any, NamedTuple
 
 from .. import rendezvous
 from .candidates import CANDIDATES, LOST_SECONDS, WIDE_FACTOR, CandidateSets
-from .member import REPORTED_STATES, Member, RosterRow
+from .lost import LostMembers
+from .member import LOGGED_NAMES, REPORTED_STATES, Changes, Member, RosterRow
 from .models import State
 from .tunnel import Status
 
@@ -52,7 +52,8 @@
 
 MEMBER_EXPIRY_SECONDS = 60.0
 """Seconds of silence until a member is forgotten. This is the longest that a flow may
-live, so the member can't hold a flow any more."""
+live, so the member can't hold a flow any more, unless it was cut off: then it holds
+new flows once it is back, and it is probed until then."""
 
 UNHEARD_LOST_SECONDS = 1.2
 """The same limit as `LOST_SECONDS` for a member that was never heard: a killed process
@@ -85,28 +86,6 @@
 """Seconds after the status that a member's target has ended in which a peer may have
 heard an earlier one. It covers two lost statuses in a small service."""
 
-LOGGED_NAMES = 8
-"""Names of agents in one log line. A full list would fill the log."""
-
-
-class Changes(NamedTuple):
-    """Members that have appeared or disappeared since the last review.
-
-    ``homes_changed`` is whether the homes of any flow may have changed.
-    """
-
-    arrived: list[str]
-    departed: list[str]
-    homes_changed: bool
-
-    def log_fields(self) -> dict[str, Any]:
-        """Return the fields of a log line: some names, and the number of the others."""
-        return {
-            "come": self.arrived[:LOGGED_NAMES],
-            "gone": self.departed[:LOGGED_NAMES],
-            "more": max(0, len(self.arrived) + len(self.departed) - 2 * LOGGED_NAMES),
-        }
-
 
 class Roster:
     """The members of one service.
@@ -119,6 +98,7 @@
         Address of this daemon if it is a member itself; it is never silent.
 
     ``closed`` are the tags of the data centres whose members accept no new flows.
+    ``lost`` are the members that were forgotten and may come back.
     ``epoch`` grows whenever a member joins, comes back or restarts, since it may then
     own a flow for which no owner was found before.
     """
@@ -138,6 +118,7 @@
         self._reviewed_at = float("-inf")
         self.last_joined_at = float("-inf")
         self.closed: frozenset[int] = frozenset()
+        self.lost = LostMembers()
         self._update_silence_limit()
 
     @property
@@ -165,6 +146,8 @@
         """
         member = self.by_address.get(address)
         if member is None:
+            former_order = self.lost.take(address)
+            order = former_order if order is None else order
             member = Member(address, zone, heard_at=now - age, known_at=now)
             member.order = self._order_of_unreported(now) if order is None else order
             self.by_address[address] = member
@@ -205,7 +188,8 @@
         return fresh
 
     def drop(self, address: str) -> None:
-        """Forget a member."""
+        """Forget a member for good."""
+        self.lost.take(address)
         member = self.by_address.pop(address, None)
         if member is not None:
             self._candidates.drop(member)
@@ -269,6 +253,8 @@
                 continue
             if member.state is State.ENDED or self.is_silent(now, member):
                 self.drop(address)
+                if member.state is not State.ENDED:
+                    self.lost.add(now, address, member.order)
 
     # Liveness
 
--- a/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
+++ b/packages/zinniahook-core/src/zinniahook_core/packets/membership.py
@@ -167,6 +167,9 @@
         self._report_joins(now)
         for address in self.roster.hellos_due(now):
             self._node.hello(now, address)
+        for address in self.roster.lost.due(now):
+            # Whoever hears it adds this agent, and sends its own status in turn.
+            self.send_status(now, address)
 
     def _update_health(self, now: float) -> bool:
         """Update the target's health; return whether peers must be notified."""
