Test QUIC connections that outgrow their first limits

A connection goes on after more requests than may be open at once, and after more bytes than the windows of a stream and of a connection, in both directions. Both pass: no fault was found there.

--- a/packages/zinniahook-daemon/tests/test_exchanges.py
+++ b/packages/zinniahook-daemon/tests/test_exchanges.py
@@ -20,10 +20,12 @@
 )
 from zinniahook_daemon.heads import MAX_BODY_BYTES
 from zinniahook_daemon.http3 import BODY_TIMEOUT_SECONDS, HIGH_WATER_BYTES
-from zinniahook_daemon.quic import make_configuration
+from zinniahook_daemon.quic import MAX_OPEN_REQUESTS, make_configuration
 from zinniahook_testkit.certificates import Authority
 
 LARGE = 24 * 1024 * 1024
+VOLUME = 3 * 1024 * 1024
+"""More than the windows of a stream and of a connection."""
 
 QUIET_PINGS = 10
 """Round trips without progress after which a transfer is considered stopped."""
@@ -83,6 +85,31 @@
         run(scenario)
 
 
+class TestLongConnections:
+    """A connection stops once it has carried a certain number or volume of requests."""
+
+    def test_more_requests_than_may_be_open(self, run):
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            for _ in range(4 * MAX_OPEN_REQUESTS):
+                client.ask("GET", "/?size=1")
+                headers, body = await client.answer()
+                assert (headers[b":status"], len(body)) == (b"200", 1)
+
+        run(scenario)
+
+    def test_more_bytes_than_any_window(self, run):
+        async def scenario(bench: Bench, client: PlainClient) -> None:
+            for _ in range(2):
+                client.ask("GET", f"/?size={VOLUME}")
+                assert len((await client.answer())[1]) == VOLUME
+                stream_id = client.ask("POST", "/tickets", end=False)
+                client.http.send_data(stream_id, bytes(VOLUME), end_stream=True)
+                client.transmit()
+                assert (await client.answer())[1] == b'{"size": %d}' % VOLUME
+
+        run(scenario)
+
+
 class TestBackPressure:
     def test_a_slow_caller_stops_the_target(self, run):
         """Guards against an agent whose memory grows with a large answer.
