--- a/packages/zinniahook-testkit/tests/test_packet_restore_machine.py
+++ b/packages/zinniahook-testkit/tests/test_packet_restore_machine.py
@@ -98,3 +98,25 @@
             machine.sim.run(SETTLE_SECONDS)
             misrouted += machine.sim.findings()
         assert misrouted == []
+
+    def test_flows_are_found_after_a_route_has_left_their_service(self):
+        """Other targets get packets of open flows after a series of changes."""
+        machine = RestoreMachine()
+        machine.begin(seed=9003, loss=0.0)
+        machine.add_an_agent()
+        machine.add_an_agent()
+        machine.restore_the_store(seconds=2.0)
+        machine.restart_every_process(moment=0.1)
+        machine.ask(seconds=3.0)
+        machine.ask(seconds=0.02)
+        machine.add_an_agent()
+        machine.evacuate(centre="c")
+        machine.add_an_agent()
+        machine.add_an_agent()
+        machine.evacuate(centre="b")
+        machine.change_the_split(weights={"ledger": 1.0})
+        machine.add_an_agent()
+        machine.restart_an_entry(index=88)
+        machine.evacuate(centre="c")
+        machine.nothing_is_broken()
+        machine.teardown()
