--- a/packages/zinniahook-testkit/tests/test_packet_large_flows.py
+++ b/packages/zinniahook-testkit/tests/test_packet_large_flows.py
@@ -2,7 +2,7 @@
 
 import pytest
 from packet_helpers import SEEDS, count_new_answers, open_flows
-from zinniahook_core.packets import Packet
+from zinniahook_core.packets import Features, Packet
 from zinniahook_core.packets.flows import Flow, FlowState
 from zinniahook_core.packets.homes import POINTERS_LIMIT
 from zinniahook_core.packets.registry import REGISTERED_PER_TICK
@@ -66,6 +66,21 @@
         assert sim.log.counts["flow.mismatched"] == 0
         assert sim.findings() == []
 
+    @pytest.mark.parametrize("seed", SEEDS)
+    @pytest.mark.parametrize("request_order", [False, True])
+    def test_numbers_of_both_ends_may_wrap_around(self, seed, request_order):
+        sim = make_simulation(seed, features=Features(request_order=request_order))
+        draw = sim.rng.randrange
+        sim.rng.randrange = lambda *limits: (
+            (1 << 32) - 30 if limits == (1 << 32,) else draw(*limits)
+        )
+        flows = open_flows(sim, 12)
+        for _ in range(10):
+            assert count_new_answers(sim, flows, 0.2) == [1] * len(flows)
+        assert {flow.first for flow in flows} == {(1 << 32) - 30}
+        assert sim.log.counts["flow.mismatched"] == 0
+        assert sim.findings() == []
+
     @pytest.mark.parametrize("seed", SEEDS)
     def test_survive_restarts_of_every_daemon(self, seed):
         sim = make_simulation(seed)
