Test flows that are older than what daemons remember

Flows that pause for 50 s of the idle timeout of 60 s go on for minutes, through restarts of entries and, at an age beyond flow_ttl_s, of every agent.

--- a/packages/zinniahook-testkit/tests/test_packet_large_flows.py
+++ b/packages/zinniahook-testkit/tests/test_packet_large_flows.py
@@ -145,6 +145,27 @@
         assert all(agent.flows.get(key).homes for key in keys)
 
 
+class TestOldFlows:
+    """Flows are reset once they are older than what some daemon remembers."""
+
+    def test_go_on_for_minutes(self):
+        """They pause for most of the idle timeout, and every daemon is restarted."""
+        sim = PacketSimulation(3, loss=0.02)
+        flows = open_flows(sim, 24, 2.0)
+        for _ in range(4):
+            sim.run(50.0)
+            assert count_new_answers(sim, flows, 3.0) == [1] * len(flows)
+            for address in sim.entries_by_address:
+                sim.start_entry(address)
+            assert count_new_answers(sim, flows, 3.0) == [1] * len(flows)
+        for agent in sim.agents_by_address.values():
+            sim.start_agent(agent)
+            sim.run(1.5)
+        assert count_new_answers(sim, flows, 3.0) == [1] * len(flows)
+        assert sim.resets == []
+        assert sim.findings() == []
+
+
 class TestReusedPorts:
     """A client's flow is reset just after it opened, while its target lives.
 
