List a reset after a late copy of an opening as known red

Suspected by reading while looking for checks that a flow outgrows, and shown in the model: a copy of an opening that reaches a restarted agent makes it take the flow for one that its client hasn't chosen, and the client's next packet acknowledges more than the 1 KiB of such a flow. The copy must be late by the whole restart of the agent, as at an entry that was frozen meanwhile.

--- a/packages/zinniahook-testkit/tests/test_packet_large_flows.py
+++ b/packages/zinniahook-testkit/tests/test_packet_large_flows.py
@@ -2,7 +2,7 @@
 
 import pytest
 from packet_helpers import SEEDS, count_new_answers, open_flows
-from zinniahook_core.packets import Features, Packet
+from zinniahook_core.packets import Features, Flag, Packet
 from zinniahook_core.packets.flows import Flow, FlowState
 from zinniahook_core.packets.homes import POINTERS_LIMIT
 from zinniahook_core.packets.registry import REGISTERED_PER_TICK
@@ -166,6 +166,34 @@
         assert sim.findings() == []
 
 
+class TestLateOpenings:
+    """A flow is reset because a copy of its opening reaches a restarted agent late.
+
+    The agent takes the flow for one that its client hasn't chosen yet. The client's
+    next packet acknowledges more than such a flow may have sent.
+    """
+
+    def test_leave_the_flow_open(self):
+        states = []
+        for seed in range(30):
+            sim = make_simulation(seed)
+            flow, *_ = open_flows(sim, 6)
+            assert count_new_answers(sim, [flow], 0.3) == [1]
+            owner = next(
+                agent
+                for agent in sim.agents_by_address.values()
+                if flow.key in agent.target.by_flow
+            )
+            sim.start_agent(owner)
+            sim.run(0.3)
+            copy = flow.codec.write(flow.key, Flag.OPENING, flow.first, 1)
+            sim.from_client(copy)
+            sim.run(0.3)
+            count_new_answers(sim, [flow], 3.0)
+            states.append(flow.state)
+        assert states == ["open"] * 30
+
+
 class TestReusedPorts:
     """A client's flow is reset just after it opened, while its target lives.
 
